--- /dev/null
+++ b/src/bin/cuminvanectl.cc
@@ -0,0 +1,188 @@
+/** @file cuminvanectl.cc The operators' tool. */
+
+#include <curl/curl.h>
+
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "control/control_func.h"
+#include "core/config_func.h"
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "core/settings_func.h"
+#include "core/vmlist_func.h"
+#include "shell/program_func.h"
+#include "shell/status_func.h"
+#include "table/config_table.h"
+#include "table/result_codes.h"
+#include "table/settings_table.h"
+#include "table/vmlist_table.h"
+
+namespace cuminvane {
+namespace {
+
+constexpr long kCallTimeoutMs = 2000;
+
+/** One balancer's answer. */
+struct BalancerStatus {
+  std::string address;
+  bool answered = false;
+  std::string failure;
+  Json::Value status;
+};
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::istringstream stream(text);
+  std::string item;
+  while (std::getline(stream, item, ',')) {
+    if (!item.empty())
+      items.push_back(item);
+  }
+  return items;
+}
+
+ResultCode ReportCheck(const std::string& path, const IniProblems& problems) {
+  if (!problems.empty()) {
+    std::cerr << FormatProblems(problems);
+    return ResultCode::kInvalidDocument;
+  }
+  std::cout << path << ": ok\n";
+  return ResultCode::kOk;
+}
+
+ResultCode Check(const std::string& path, const std::string& sort) {
+  const Result<std::string> text = ReadFile(path);
+  if (!text)
+    return Complain(text.error());
+  if (sort == "settings")
+    return ReportCheck(path, CheckSettings(path, text.value()).problems);
+  if (sort == "vms")
+    return ReportCheck(path, CheckVmList(path, text.value()).problems);
+  return ReportCheck(path, CheckConfig(path, text.value()).problems);
+}
+
+std::vector<BalancerStatus> AskAll(const std::vector<std::string>& addresses) {
+  std::vector<BalancerStatus> all;
+  for (const std::string& address : addresses) {
+    BalancerStatus one;
+    one.address = address;
+    const ControlReply reply = CallControl(address, "status", "{}", kCallTimeoutMs);
+    one.answered = reply.ok && ParseJson(reply.text, one.status);
+    one.failure = reply.ok ? "" : reply.text;
+    all.push_back(one);
+  }
+  return all;
+}
+
+void PrintStatus(const BalancerStatus& one) {
+  if (!one.answered) {
+    std::cout << std::left << std::setw(22) << one.address << " no answer: " << one.failure << "\n";
+    return;
+  }
+  const Json::Value& status = one.status;
+  size_t alive = 0;
+  for (const Json::Value& member : status["members"])
+    alive += member["state"].asString() == "member_alive" ? 1 : 0;
+  std::cout << std::left << std::setw(22) << one.address << " vm=" << status["vm"].asUInt()
+            << " data_centre=" << status["data_centre"].asString()
+            << " state=" << (status["stopping"].asBool() ? "stopping" : status["serving"].asBool() ? "serving" : "starting")
+            << " config=" << status["config_version"].asUInt64() << " vms=" << status["vm_list_version"].asUInt64()
+            << " key=" << status["issue_key"].asUInt() << " peers_alive=" << alive
+            << " flows=" << status["flows"].asUInt64() << " unfinished=" << status["unfinished"].asUInt64() << "\n";
+}
+
+ResultCode Status(const std::vector<std::string>& addresses, bool json) {
+  if (addresses.empty())
+    return Complain({ResultCode::kUsage, "--balancers is needed; see --help"});
+  const std::vector<BalancerStatus> all = AskAll(addresses);
+  Json::Value list(Json::arrayValue);
+  bool complete = true;
+  for (const BalancerStatus& one : all) {
+    complete = complete && one.answered;
+    Json::Value entry;
+    entry["address"] = one.address;
+    entry["answered"] = one.answered;
+    entry["failure"] = one.failure;
+    entry["status"] = one.status;
+    list.append(entry);
+    if (!json)
+      PrintStatus(one);
+  }
+  if (json)
+    std::cout << WriteJson(list) << "\n";
+  return complete ? ResultCode::kOk : ResultCode::kBalancerUnreachable;
+}
+
+ResultCode SetLevel(const std::vector<std::string>& addresses, const std::string& topic, const std::string& severity) {
+  if (addresses.empty())
+    return Complain({ResultCode::kUsage, "--balancers is needed; see --help"});
+  Json::Value params;
+  params["topic"] = topic;
+  params["severity"] = severity;
+  ResultCode worst = ResultCode::kOk;
+  for (const std::string& address : addresses) {
+    const ControlReply reply = CallControl(address, "set_log_level", WriteJson(params), kCallTimeoutMs);
+    std::cout << address << " " << (reply.ok ? "ok" : reply.text) << "\n";
+    if (!reply.ok)
+      worst = ResultCode::kBalancerUnreachable;
+  }
+  return worst;
+}
+
+/** Prints the reference of documents and result codes, as the pages under docs/ hold it. */
+ResultCode Reference(const std::string& sort) {
+  if (sort == "settings") {
+    std::cout << FormatSchema(kSettingsSchema);
+  } else if (sort == "config") {
+    std::cout << FormatSchema(kConfigSchema);
+  } else if (sort == "vms") {
+    std::cout << FormatSchema(kVmListSchema);
+  } else if (sort == "codes") {
+    constexpr std::array<const char*, 4> kOutcomes = {"-", "answered", "not run", "unknown"};
+    std::cout << "| code | name | outcome | meaning | what to do |\n| --- | --- | --- | --- | --- |\n";
+    for (const ResultCodeRow& row : kResultCodes) {
+      std::cout << "| " << static_cast<int>(row.code) << " | `" << row.name << "` | "
+                << kOutcomes.at(static_cast<size_t>(row.outcome)) << " | " << row.meaning << " | " << row.action << " |\n";
+    }
+  } else {
+    return Complain({ResultCode::kUsage, "reference takes settings, config, vms or codes"});
+  }
+  return ResultCode::kOk;
+}
+
+ResultCode RunCommand(const cxxopts::ParseResult& options) {
+  const auto words = options["command"].as<std::vector<std::string>>();
+  const std::vector<std::string> balancers = SplitList(options["balancers"].as<std::string>());
+  const std::string& verb = words.front();
+  if (verb == "check" && words.size() == 2)
+    return Check(words[1], options["as"].as<std::string>());
+  if (verb == "status" && words.size() == 1)
+    return Status(balancers, options.count("json") != 0);
+  if (verb == "log" && words.size() == 3)
+    return SetLevel(balancers, words[1], words[2]);
+  if (verb == "reference" && words.size() == 2)
+    return Reference(words[1]);
+  return Complain({ResultCode::kUsage, "unknown command or wrong number of words; see --help"});
+}
+
+}  // namespace
+}  // namespace cuminvane
+
+int main(int argc, char** argv) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  cxxopts::Options options("cuminvanectl",
+                           "The operators' tool\n\n"
+                           "  cuminvanectl check FILE [--as config|settings|vms]\n"
+                           "  cuminvanectl status --balancers A.B.C.D:PORT,... [--json]\n"
+                           "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
+                           "  cuminvanectl reference config|settings|vms|codes\n");
+  options.add_options()("command", "What to do", cxxopts::value<std::vector<std::string>>()->default_value("status"))(
+      "as", "Sort of file to check", cxxopts::value<std::string>()->default_value("config"), "SORT")(
+      "balancers", "Control addresses, parted by commas", cxxopts::value<std::string>()->default_value(""), "LIST")(
+      "json", "Print JSON");
+  options.parse_positional({"command"});
+  options.positional_help("COMMAND");
+  return cuminvane::RunProgram(argc, argv, options, cuminvane::RunCommand);
+}
--- /dev/null
+++ b/src/bin/cuminvaned.cc
@@ -0,0 +1,54 @@
+/** @file cuminvaned.cc The balancer. */
+
+#include <curl/curl.h>
+
+#include <iostream>
+
+#include "core/ini_func.h"
+#include "core/settings_func.h"
+#include "shell/clock_func.h"
+#include "shell/daemon_base.h"
+#include "shell/log_func.h"
+#include "shell/program_func.h"
+
+namespace cuminvane {
+namespace {
+
+ResultCode Serve(Settings settings) {
+  if (settings.incarnation == Incarnation{})
+    settings.incarnation = Incarnation{static_cast<uint64_t>(ToWire(ReadClock()))};
+  StartLog("cuminvaned." + ToString(settings.id), settings.log_levels, settings.input_lines_per_s);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  const auto daemon = std::make_shared<Daemon>(std::move(settings));
+  const Result<void> ended = daemon->Run();
+  return ended ? ResultCode::kOk : Complain(ended.error());
+}
+
+ResultCode RunDaemon(const cxxopts::ParseResult& options) {
+  if (options.count("config") == 0)
+    return Complain({ResultCode::kUsage, "--config is needed; see --help"});
+  const auto path = options["config"].as<std::string>();
+  const Result<std::string> text = ReadFile(path);
+  if (!text)
+    return Complain(text.error());
+  SettingsCheck check = CheckSettings(path, text.value());
+  if (!check.problems.empty()) {
+    std::cerr << FormatProblems(check.problems);
+    return ResultCode::kInvalidDocument;
+  }
+  if (options.count("check") != 0) {
+    std::cout << path << ": ok\n";
+    return ResultCode::kOk;
+  }
+  return Serve(std::move(check.settings));
+}
+
+}  // namespace
+}  // namespace cuminvane
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("cuminvaned", "The balancer: one process on each entry VM");
+  options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>(), "FILE")(
+      "check", "Check the settings file and end");
+  return cuminvane::RunProgram(argc, argv, options, cuminvane::RunDaemon);
+}
--- /dev/null
+++ b/src/core/board_base.h
@@ -0,0 +1,103 @@
+/** @file board_base.h The blackboard: what this process believes, who said it and when. */
+
+#ifndef CUMINVANE_CORE_BOARD_BASE_H_
+#define CUMINVANE_CORE_BOARD_BASE_H_
+
+#include <memory>
+
+#include "core/config_type.h"
+#include "core/guarded_type.h"
+#include "core/member_type.h"
+#include "core/time_type.h"
+#include "core/vmlist_type.h"
+
+namespace cuminvane {
+
+/** Who wrote an entry of the blackboard. */
+enum class BoardSource : uint8_t { kNone, kDocuments, kMembership, kOperator };
+
+/** A belief. */
+template <class T>
+struct BoardEntry {
+  std::shared_ptr<const T> value = std::make_shared<const T>();
+  BoardSource source = BoardSource::kNone;
+  TimePoint at;
+
+  bool operator==(const BoardEntry&) const = default;
+};
+
+/** How this process stands towards the fleet. */
+struct SelfState {
+  Holder id;
+  bool serving = false;   ///< Callers' packets are taken.
+  bool stopping = false;  ///< No new non-idempotent work is taken.
+  KeyNumber issue_key;  ///< Key that new tokens are made with.
+
+  bool operator==(const SelfState&) const = default;
+};
+
+/** Every entry of the blackboard at one moment; values are shared, never changed. */
+struct BoardView {
+  BoardEntry<Config> config;
+  BoardEntry<VmList> vms;
+  BoardEntry<MemberView> members;
+  BoardEntry<SelfState> self;
+
+  bool operator==(const BoardView&) const = default;
+};
+
+/**
+ * The blackboard. Controllers write their own entry; everybody reads all of them at once.
+ * @tparam Mutex Lock of the board.
+ */
+template <Lockable Mutex>
+class Board {
+ public:
+  /** @return All entries as they stand. */
+  std::shared_ptr<const BoardView> Read() const {
+    return this->view.With([](const auto& current) { return current; });
+  }
+
+  /**
+   * Replaces one entry.
+   * @param entry Which one, for example `&BoardView::config`.
+   * @param value Its new value.
+   * @param source Who writes.
+   * @param now When.
+   */
+  template <class T>
+  void Write(BoardEntry<T> BoardView::*entry, std::shared_ptr<const T> value, BoardSource source, TimePoint now) {
+    this->view.With([&](std::shared_ptr<const BoardView>& current) {
+      auto next = std::make_shared<BoardView>(*current);
+      (*next).*entry = BoardEntry<T>{std::move(value), source, now};
+      current = std::move(next);
+    });
+  }
+
+  /**
+   * Changes one entry as it stands; no write of another thread is lost.
+   * @param entry Which one.
+   * @param change Called with the present view and the value to change.
+   * @param source Who writes.
+   * @param now When.
+   */
+  template <class T, class Change>
+  void Update(BoardEntry<T> BoardView::*entry, Change change, BoardSource source, TimePoint now) {
+    this->view.With([&](std::shared_ptr<const BoardView>& current) {
+      T value = *((*current).*entry).value;
+      change(*current, value);
+      if (value == *((*current).*entry).value)
+        return;
+      auto next = std::make_shared<BoardView>(*current);
+      (*next).*entry = BoardEntry<T>{std::make_shared<const T>(std::move(value)), source, now};
+      current = std::move(next);
+    });
+  }
+
+ private:
+  Guarded<std::shared_ptr<const BoardView>, Mutex> view{std::make_shared<const BoardView>()};
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_BOARD_BASE_H_
--- /dev/null
+++ b/src/core/config_func.cc
@@ -0,0 +1,206 @@
+/** @file config_func.cc Checking and parsing of the operators' configuration. */
+
+#include "core/config_func.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "table/config_table.h"
+
+namespace cuminvane {
+namespace {
+
+KeyNumber ParseKeyNumber(const std::string& name) {
+  uint32_t number = 0;
+  const char* const last = name.data() + name.size();
+  const auto [end, error] = std::from_chars(name.data(), last, number);
+  return error == std::errc{} && end == last ? KeyNumber{number} : KeyNumber{};
+}
+
+/** Parses one document; every problem is added, none stops the rest. */
+class ConfigParser {
+ public:
+  ConfigParser(const IniDocument& document, ConfigCheck& check)
+      : document(document), check(check) {}
+
+  void ParseAll() {
+    for (const IniSection& raw : this->document.sections)
+      this->ParseSection(raw);
+    for (const IniSection& raw : this->document.sections)
+      this->CheckReferences(raw);
+  }
+
+ private:
+  void Add(const IniSection& raw,
+           int line,
+           std::string key,
+           std::string found,
+           std::string allowed) {
+    this->check.problems.push_back({this->document.file, line, raw.name,
+                                    std::move(key), std::move(found),
+                                    std::move(allowed)});
+  }
+
+  void ParseSection(const IniSection& raw) {
+    const std::string_view kind = SectionKind(raw.name);
+    const SectionReader section(raw, kConfigSchema);
+    if (kind == "document")
+      this->check.config.version =
+          ConfigVersion{static_cast<uint64_t>(section.Integer("version"))};
+    if (kind == "service")
+      this->ParseService(raw, section);
+    if (kind == "class")
+      this->ParseClass(section);
+    if (kind == "change")
+      this->ParseChange(raw, section);
+    if (kind == "token-key")
+      this->ParseKey(raw, section);
+  }
+
+  void ParseService(const IniSection& raw, const SectionReader& section) {
+    Service service;
+    service.name = section.Name();
+    service.id = ServiceIdOf(service.name);
+    service.data_centres = section.List("data_centres");
+    for (const std::string& text : section.List("addresses")) {
+      const Endpoint address = ParseEndpoint(text).value_or(Endpoint{});
+      if (!this->addresses.insert(address).second)
+        this->Add(raw, section.Line("addresses"), "addresses",
+                  text + " again", "each address once, for one service");
+      service.addresses.push_back(address);
+    }
+    this->data_centres.insert(service.data_centres.begin(),
+                              service.data_centres.end());
+    this->check.config.services.push_back(std::move(service));
+  }
+
+  void ParseClass(const SectionReader& section) {
+    WorkClass work;
+    work.name = section.Name();
+    work.id = ClassIdOf(work.name);
+    work.service = ServiceIdOf(section.Text("service"));
+    work.idempotent = section.Boolean("idempotent");
+    work.rank = section.Integer("rank");
+    work.target = {section.Integer("answered_within_ms"),
+                   section.Decimal("answered_percent"),
+                   section.Decimal("broken_flows_per_million"),
+                   section.Decimal("imbalance_percent")};
+    this->check.config.classes.push_back(std::move(work));
+  }
+
+  void ParseChange(const IniSection& raw, const SectionReader& section) {
+    PlannedChange change;
+    change.name = section.Name();
+    change.kind = section.Text("kind") == "stop" ? ChangeKind::kStop
+                                                 : ChangeKind::kDrain;
+    change.vm = VmId{static_cast<uint32_t>(section.Integer("vm"))};
+    change.data_centre = section.Text("data_centre");
+    change.begins_at = section.Time("begins_at").value_or(kNever);
+    const bool names_vm = change.vm != VmId{};
+    if (names_vm != change.data_centre.empty())
+      this->Add(raw, raw.line, "vm", names_vm ? "vm and data_centre" : "neither",
+                "either vm or data_centre");
+    this->check.config.changes.push_back(std::move(change));
+  }
+
+  void ParseKey(const IniSection& raw, const SectionReader& section) {
+    const KeyNumber number = ParseKeyNumber(section.Name());
+    if (number == KeyNumber{})
+      this->Add(raw, raw.line, "", section.Name(), "integer 1 to 4294967295");
+    const std::string secret =
+        ParseHex(section.Text("secret")).value_or(std::string());
+    TokenKey key{};
+    std::copy_n(secret.begin(), std::min(secret.size(), key.size()), key.begin());
+    if (!this->check.config.keys.emplace(number, key).second)
+      this->Add(raw, raw.line, "", section.Name() + " again", "each number once");
+  }
+
+  /** References can point forwards, so they are checked when all sections are known. */
+  void CheckReferences(const IniSection& raw) {
+    const std::string_view kind = SectionKind(raw.name);
+    const SectionReader section(raw, kConfigSchema);
+    if (kind == "class" && !section.Text("service").empty() &&
+        FindService(this->check.config, ServiceIdOf(section.Text("service"))) ==
+            nullptr)
+      this->Add(raw, section.Line("service"), "service", section.Text("service"),
+                "a service of this document: " + this->ServiceNames());
+    const std::string centre = section.Text("data_centre");
+    if (kind == "change" && !centre.empty() && !this->data_centres.contains(centre))
+      this->Add(raw, section.Line("data_centre"), "data_centre", centre,
+                "a data centre of a service: " + this->DataCentreNames());
+  }
+
+  std::string ServiceNames() const {
+    std::string names;
+    for (const Service& service : this->check.config.services)
+      names += (names.empty() ? "" : " ") + service.name;
+    return names;
+  }
+
+  std::string DataCentreNames() const {
+    std::string names;
+    for (const std::string& name : this->data_centres)
+      names += (names.empty() ? "" : " ") + name;
+    return names;
+  }
+
+  const IniDocument& document;
+  ConfigCheck& check;
+  std::set<Endpoint> addresses;
+  std::set<std::string> data_centres;
+};
+
+}  // namespace
+
+ConfigCheck CheckConfig(const std::string& file, std::string_view text) {
+  ConfigCheck check;
+  const IniDocument document = ReadIni(file, text, check.problems);
+  CheckSchema(document, kConfigSchema, check.problems);
+  ConfigParser(document, check).ParseAll();
+  check.config.text = text;
+  return check;
+}
+
+ServiceId ServiceIdOf(std::string_view name) {
+  return ServiceId{XXH3_64bits(name.data(), name.size())};
+}
+
+ClassId ClassIdOf(std::string_view name) {
+  return ClassId{XXH3_64bits(name.data(), name.size())};
+}
+
+const Service* FindService(const Config& config, const Endpoint& address) {
+  for (const Service& service : config.services) {
+    if (std::ranges::find(service.addresses, address) != service.addresses.end())
+      return &service;
+  }
+  return nullptr;
+}
+
+const Service* FindService(const Config& config, ServiceId id) {
+  const auto service = std::ranges::find(config.services, id, &Service::id);
+  return service == config.services.end() ? nullptr : &*service;
+}
+
+const WorkClass* FindClass(const Config& config, ClassId id) {
+  const auto work = std::ranges::find(config.classes, id, &WorkClass::id);
+  return work == config.classes.end() ? nullptr : &*work;
+}
+
+const PlannedChange* FindChange(const Config& config, const Vm& vm, TimePoint now) {
+  for (const PlannedChange& change : config.changes) {
+    const bool concerns =
+        change.vm == vm.id ||
+        (change.vm == VmId{} && change.data_centre == vm.data_centre);
+    if (concerns && change.begins_at <= now)
+      return &change;
+  }
+  return nullptr;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/decision_type.h
@@ -0,0 +1,56 @@
+/** @file decision_type.h What the core wants logged: one value for each decision, formatted by the shell. */
+
+#ifndef CUMINVANE_CORE_DECISION_TYPE_H_
+#define CUMINVANE_CORE_DECISION_TYPE_H_
+
+#include <array>
+#include <cstdint>
+
+#include "core/ids_type.h"
+#include "core/result_type.h"
+
+namespace cuminvane {
+
+/** Subject of a log line; each has its own least severity. */
+enum class Topic : uint8_t {
+  kRouting,
+  kPlacement,
+  kMembership,
+  kConfig,
+  kInput,
+  kProcess,
+};
+
+inline constexpr std::array kTopics = {Topic::kRouting,    Topic::kPlacement,
+                                       Topic::kMembership, Topic::kConfig,
+                                       Topic::kInput,      Topic::kProcess};
+
+enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError, kOff };
+
+/** Least severity logged, by topic. */
+struct LogLevels {
+  std::array<Severity, kTopics.size()> least{
+      Severity::kInfo, Severity::kInfo,    Severity::kInfo,
+      Severity::kInfo, Severity::kWarning, Severity::kInfo};
+
+  bool operator==(const LogLevels&) const = default;
+};
+
+/** One decision; identifiers that do not apply are zero. */
+struct Decision {
+  Topic topic = Topic::kRouting;
+  Severity severity = Severity::kInfo;
+  const char* event = "";   ///< What was decided, for example `relay`.
+  const char* reason = "";  ///< Why.
+  FlowId flow;
+  RequestNumber number;
+  VmId vm;  ///< The VM chosen or concerned.
+  ResultCode code = ResultCode::kOk;
+  ConfigVersion version;  ///< Of the document concerned.
+
+  bool operator==(const Decision&) const = default;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_DECISION_TYPE_H_
--- /dev/null
+++ b/src/core/member_type.h
@@ -0,0 +1,107 @@
+/** @file member_type.h What balancers tell each other about the balancers of the fleet. */
+
+#ifndef CUMINVANE_CORE_MEMBER_TYPE_H_
+#define CUMINVANE_CORE_MEMBER_TYPE_H_
+
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "core/document_type.h"
+#include "core/message_type.h"
+#include "core/time_type.h"
+
+namespace cuminvane {
+
+/** Belief about one member; at the same round a higher state replaces a lower one. */
+enum class MemberState : uint8_t {
+  kAlive = 0,
+  kLeaving = 1,  ///< Says itself that it is stopping.
+  kSuspect = 2,  ///< Did not answer; may refute.
+  kDead = 3,     ///< Did not refute in time.
+  kLeft = 4,     ///< Said that it had finished and stopped.
+};
+
+/** @return The state's word in logs and status. */
+const char* ToString(MemberState state);
+
+/** One statement about one member, passed from peer to peer. */
+struct MemberInfo {
+  Holder id;
+  uint32_t round = 0;  ///< Raised by the member itself to refute a suspicion.
+  uint8_t state = 0;   ///< A MemberState; unknown numbers read as kAlive.
+  Endpoint peer;       ///< Where it listens for peers.
+  uint64_t data_centre = 0;  ///< Hash of the data centre's name.
+  uint32_t newest_key = 0;   ///< Newest token key that it holds.
+
+  bool operator==(const MemberInfo&) const = default;
+  MSGPACK_DEFINE_ARRAY(id, round, state, peer, data_centre, newest_key)
+
+  /** @return The state, kAlive for a number from a newer version. */
+  MemberState State() const {
+    return this->state <= static_cast<uint8_t>(MemberState::kLeft)
+               ? static_cast<MemberState>(this->state)
+               : MemberState::kAlive;
+  }
+};
+
+/** Versions of the documents that a member has in force. */
+struct DocumentVersions {
+  DocumentStamp config;
+  DocumentStamp vms;
+
+  auto operator<=>(const DocumentVersions&) const = default;
+  MSGPACK_DEFINE_ARRAY(config, vms)
+};
+
+/** Asks a member whether it is there. */
+struct Ping {
+  static constexpr MessageType kType = MessageType::kPing;
+  uint64_t sequence = 0;
+  MemberInfo from;
+  DocumentVersions versions;
+  std::vector<MemberInfo> updates;
+
+  bool operator==(const Ping&) const = default;
+  MSGPACK_DEFINE_ARRAY(sequence, from, versions, updates)
+};
+
+/** Answers a ping, or passes on that another member answered one. */
+struct Ack {
+  static constexpr MessageType kType = MessageType::kAck;
+  uint64_t sequence = 0;
+  MemberInfo from;
+  DocumentVersions versions;
+  std::vector<MemberInfo> updates;
+
+  bool operator==(const Ack&) const = default;
+  MSGPACK_DEFINE_ARRAY(sequence, from, versions, updates)
+};
+
+/** Asks a member to ping another one that did not answer. */
+struct PingRequest {
+  static constexpr MessageType kType = MessageType::kPingRequest;
+  uint64_t sequence = 0;
+  MemberInfo from;
+  Endpoint target;
+
+  bool operator==(const PingRequest&) const = default;
+  MSGPACK_DEFINE_ARRAY(sequence, from, target)
+};
+
+/** The members as one process believes them to be, in ascending order of VM. */
+struct MemberView {
+  std::vector<MemberInfo> members;  ///< Without the process itself.
+
+  bool operator==(const MemberView&) const = default;
+};
+
+/** @return The statement about the VM, null where there is none. */
+const MemberInfo* FindMember(const MemberView& view, VmId vm);
+
+/** @return The member that takes a flow over from this one, none where no other is alive. */
+Holder SuccessorOf(const MemberView& view, FlowId flow);
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_MEMBER_TYPE_H_
--- /dev/null
+++ b/src/core/message_func.cc
@@ -0,0 +1,79 @@
+/** @file message_func.cc Encoding and decoding of datagrams with MessagePack. */
+
+#include "core/message_func.h"
+
+namespace cuminvane {
+namespace {
+
+/** Items and depth that no message exceeds; guards against hostile lengths. */
+constexpr size_t kMostItems = 4096;
+constexpr size_t kMostDepth = 8;
+
+/** Every blob stays where it is, in the datagram. */
+bool ReferenceAlways(msgpack::type::object_type, size_t, void*) {
+  return true;
+}
+
+msgpack::unpack_limit Limits() {
+  return {kMostItems, 0, kDatagramLimit, kDatagramLimit, 0, kMostDepth};
+}
+
+Result<msgpack::object> UnpackAt(std::string_view datagram,
+                                 size_t& offset,
+                                 msgpack::zone& zone) {
+  try {
+    bool referenced = false;
+    return msgpack::unpack(zone, datagram.data(), datagram.size(), offset,
+                           referenced, ReferenceAlways, nullptr, Limits());
+  } catch (const msgpack::insufficient_bytes&) {
+    return Error{ResultCode::kTruncated, "ends inside a message"};
+  } catch (const msgpack::unpack_error&) {
+    return Error{ResultCode::kGarbage, "not a message"};
+  }
+}
+
+}  // namespace
+
+namespace internal {
+
+void PackHeader(msgpack::sbuffer& buffer, MessageType type) {
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(2);
+  packer.pack(kProtocolVersion);
+  packer.pack(static_cast<uint8_t>(type));
+}
+
+Result<msgpack::object> UnpackBody(std::string_view datagram,
+                                   size_t offset,
+                                   msgpack::zone& zone) {
+  BOOST_OUTCOME_TRY(object,
+                    UnpackAt(datagram, offset, zone));
+  if (offset != datagram.size())
+    return Error{ResultCode::kGarbage, "bytes after the message"};
+  return object;
+}
+
+}  // namespace internal
+
+Result<Header> DecodeHeader(std::string_view datagram) {
+  if (datagram.size() > kDatagramLimit)
+    return Error{ResultCode::kOversized, "larger than a datagram may be"};
+  msgpack::zone zone;
+  size_t offset = 0;
+  BOOST_OUTCOME_TRY(object,
+                    UnpackAt(datagram, offset, zone));
+  constexpr uint32_t kFields = 2;
+  if (object.type != msgpack::type::ARRAY || object.via.array.size < kFields)
+    return Error{ResultCode::kGarbage, "no header"};
+  const msgpack::object& version = object.via.array.ptr[0];
+  const msgpack::object& type = object.via.array.ptr[1];
+  if (version.type != msgpack::type::POSITIVE_INTEGER ||
+      type.type != msgpack::type::POSITIVE_INTEGER ||
+      type.via.u64 > UINT8_MAX)
+    return Error{ResultCode::kGarbage, "no header"};
+  if (version.via.u64 != kProtocolVersion)
+    return Error{ResultCode::kUnknownVersion, "another protocol version"};
+  return Header{kProtocolVersion, static_cast<MessageType>(type.via.u64), offset};
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/placement_base.h
@@ -0,0 +1,198 @@
+/** @file placement_base.h Chooses backend servers from what this balancer saw itself, then from what they report. */
+
+#ifndef CUMINVANE_CORE_PLACEMENT_BASE_H_
+#define CUMINVANE_CORE_PLACEMENT_BASE_H_
+
+#include <map>
+#include <vector>
+
+#include "core/config_func.h"
+#include "core/placement_type.h"
+#include "core/rendezvous_func.h"
+#include "core/result_type.h"
+#include "core/vmlist_func.h"
+
+namespace cuminvane {
+
+/**
+ * The backend servers of all services and the choice among them.
+ * @tparam Policy How new flows are spread.
+ */
+template <PlacementPolicy Policy>
+class PlacementTable {
+ public:
+  /** Takes over the platform's list and the planned changes that hold now. */
+  void Sync(const VmList& list, const Config& config, TimePoint now) {
+    const bool first = this->backends.empty();
+    std::map<VmId, BackendState> next;
+    for (const Vm& vm : list.vms) {
+      if (vm.role != VmRole::kBackend)
+        continue;
+      const auto known = this->backends.find(vm.id);
+      // The list lags: the backend server itself may have told a later incarnation.
+      const bool same = known != this->backends.end() && known->second.incarnation >= vm.incarnation;
+      BackendState state = same ? known->second : this->Newcomer(vm, first ? now : now + kWarmUp);
+      state.address = vm.address;
+      state.service = vm.service;
+      state.leaving = vm.leaving || FindChange(config, vm, now) != nullptr || !IsServedFrom(config, vm);
+      next.emplace(vm.id, state);
+    }
+    this->backends = std::move(next);
+  }
+
+  /** @return A backend server for a new flow, or kNoBackend. */
+  Result<Target> ForFlow(ServiceId service, TimePoint now, RandomEngine& random) {
+    std::vector<BackendState*> candidates = this->Candidates(service, VmId{}, now);
+    if (candidates.empty())
+      return Error{ResultCode::kNoBackend, "no backend server takes flows"};
+    BackendState& chosen = *candidates[Policy::Pick(candidates, random)];
+    chosen.placed += 1 / Share(chosen, now);
+    return MakeTarget(chosen, "least_placed");
+  }
+
+  /**
+   * @param service The service of the flow.
+   * @param preferred The backend server chosen when the flow opened.
+   * @param flow The flow; its requests stay together when the preferred one is gone.
+   * @param now The present time.
+   * @return A backend server for a request, or kNoBackend.
+   */
+  Result<Target> ForRequest(ServiceId service, const Holder& preferred, FlowId flow, TimePoint now) {
+    const auto known = this->backends.find(preferred.vm);
+    const bool usable = known != this->backends.end() && known->second.service == service &&
+                        TakesWork(known->second, now) && known->second.avoid_until <= now;
+    if (usable)
+      return MakeTarget(known->second, "flow");
+    const std::vector<BackendState*> candidates = this->Candidates(service, VmId{}, now);
+    if (candidates.empty())
+      return Error{ResultCode::kNoBackend, "no backend server takes requests"};
+    return MakeTarget(**std::ranges::max_element(candidates, {}, [flow](const BackendState* state) {
+      return RendezvousScore(flow.value, state->vm.value);
+    }), "flow_moved");
+  }
+
+  /** @return Another backend server than `refuser` for a request that was not run, or kNoBackend. */
+  Result<Target> ForRetry(ServiceId service, VmId refuser, TimePoint now, RandomEngine& random) {
+    const std::vector<BackendState*> candidates = this->Candidates(service, refuser, now);
+    if (candidates.empty())
+      return Error{ResultCode::kNoBackend, "no other backend server takes requests"};
+    return MakeTarget(*candidates[TwoChoices::Pick(candidates, random)], "retry");
+  }
+
+  /** @return The address of a backend server, none where it is not known any more. */
+  Endpoint AddressOf(VmId vm) const {
+    const auto known = this->backends.find(vm);
+    return known == this->backends.end() ? Endpoint{} : known->second.address;
+  }
+
+  /** Counts a run that was sent. */
+  void OnSent(VmId vm) {
+    if (BackendState* const state = this->Find(vm))
+      ++state->outstanding;
+  }
+
+  /** Takes note of how a run ended. */
+  void OnEnded(TimePoint now, VmId vm, RunEnd end) {
+    BackendState* const state = this->Find(vm);
+    if (state == nullptr)
+      return;
+    state->outstanding = std::max(0, state->outstanding - 1);
+    if (end != RunEnd::kSilent)
+      return;
+    ++state->silences;
+    if (state->silences >= kSilencesToAvoid) {
+      const int doublings = std::min(state->silences - kSilencesToAvoid, kMostDoublings);
+      state->avoid_until = now + kAvoidFirst * (1 << doublings);
+    }
+  }
+
+  /** Takes note of what a backend server says of itself; that it speaks at all clears its silences. */
+  void OnReport(TimePoint now, VmId vm, const LoadReport& report) {
+    BackendState* const state = this->Find(vm);
+    if (state == nullptr)
+      return;
+    if (report.incarnation > state->incarnation) {
+      state->incarnation = report.incarnation;
+      state->outstanding = 0;
+      state->warm_at = now + kWarmUp;
+    }
+    state->silences = 0;
+    state->avoid_until = {};
+    state->report = report;
+    state->draining_until = report.draining ? now + kDrainBelief : TimePoint{};
+  }
+
+  /** @return All backend servers by VM. */
+  const std::map<VmId, BackendState>& Backends() const { return this->backends; }
+
+ private:
+  /** Time in which a cold backend server's share grows to a full one. */
+  static constexpr Seconds kWarmUp{10};
+  static constexpr double kColdShare = 0.1;
+  static constexpr int kSilencesToAvoid = 2;
+  static constexpr int kMostDoublings = 4;
+  static constexpr Milliseconds kAvoidFirst{500};
+  /** A draining backend server gets no work and so can't tell that it has stopped draining; then it is tried again. */
+  static constexpr Seconds kDrainBelief{10};
+
+  static bool IsServedFrom(const Config& config, const Vm& vm) {
+    const Service* const service = FindService(config, vm.service);
+    return service != nullptr && std::ranges::find(service->data_centres, vm.data_centre) != service->data_centres.end();
+  }
+
+  static bool TakesWork(const BackendState& state, TimePoint now) {
+    return !state.leaving && state.draining_until <= now;
+  }
+
+  static double Share(const BackendState& state, TimePoint now) {
+    if (state.warm_at <= now)
+      return 1;
+    const double left = std::chrono::duration<double>(state.warm_at - now) / std::chrono::duration<double>(kWarmUp);
+    return std::max(kColdShare, 1 - left);
+  }
+
+  static Target MakeTarget(const BackendState& state, const char* reason) {
+    return {state.vm, state.incarnation, state.address, reason};
+  }
+
+  /** A newcomer starts level with the others: counted from zero it would get every new flow. */
+  BackendState Newcomer(const Vm& vm, TimePoint warm_at) const {
+    BackendState state;
+    state.vm = vm.id;
+    state.incarnation = vm.incarnation;
+    state.warm_at = warm_at;
+    double sum = 0;
+    int peers = 0;
+    for (const auto& [id, other] : this->backends) {
+      if (other.service != vm.service || other.leaving)
+        continue;
+      sum += other.placed;
+      ++peers;
+    }
+    state.placed = peers == 0 ? 0 : sum / peers;
+    return state;
+  }
+
+  /** Those that take work and answer; where none answers, those that take work. */
+  std::vector<BackendState*> Candidates(ServiceId service, VmId excluded, TimePoint now) {
+    std::vector<BackendState*> answering;
+    std::vector<BackendState*> silent;
+    for (auto& [vm, state] : this->backends) {
+      if (state.service != service || vm == excluded || !TakesWork(state, now))
+        continue;
+      (state.avoid_until <= now ? answering : silent).push_back(&state);
+    }
+    return answering.empty() ? silent : answering;
+  }
+
+  BackendState* Find(VmId vm) {
+    const auto known = this->backends.find(vm);
+    return known == this->backends.end() ? nullptr : &known->second;
+  }
+
+  std::map<VmId, BackendState> backends;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_PLACEMENT_BASE_H_
--- /dev/null
+++ b/src/core/reply_func.cc
@@ -0,0 +1,85 @@
+/** @file reply_func.cc Messages to callers and backend servers. */
+
+#include "core/reply_func.h"
+
+namespace cuminvane {
+namespace {
+
+/** Parts asked for in one message. */
+constexpr size_t kPartsPerQuestion = 64;
+
+}  // namespace
+
+void SendToCaller(const CallerPath& path,
+                  std::string_view packet,
+                  Output& out) {
+  const FabricPacket wrapped{path.caller, path.service, MakeBlob(packet)};
+  out.datagrams.push_back({Lane::kFabric, path.fabric, Encode(wrapped)});
+}
+
+void SendVerdict(const CallerPath& path,
+                 FlowId flow,
+                 RequestNumber number,
+                 ResultCode code,
+                 Output& out) {
+  const Verdict verdict{flow, number, static_cast<uint16_t>(code), {}, {}};
+  SendToCaller(path, Encode(verdict), out);
+}
+
+void SendReceipt(const CallerPath& path,
+                 FlowId flow,
+                 RequestNumber number,
+                 const Holder& self,
+                 Output& out) {
+  SendToCaller(path, Encode(Receipt{flow, number, self}), out);
+}
+
+void SendPart(FlowId flow,
+              const RequestRecord& record,
+              uint32_t index,
+              const Holder& self,
+              Output& out) {
+  const Part part{flow,
+                  record.number,
+                  record.run,
+                  self,
+                  index,
+                  static_cast<uint32_t>(record.parts.size()),
+                  MakeBlob(record.parts[index])};
+  SendToCaller(record.path, Encode(part), out);
+}
+
+void SendRun(FlowId flow,
+             const RequestRecord& record,
+             const Endpoint& backend,
+             Output& out) {
+  const Run run{record.run,
+                record.backend_incarnation,
+                flow,
+                record.number,
+                record.work_class,
+                ToWire(record.deadline),
+                MakeBlob(record.payload)};
+  out.datagrams.push_back({Lane::kBackend, backend, Encode(run)});
+}
+
+void SendCancelRun(const RequestRecord& record,
+                   const Endpoint& backend,
+                   Output& out) {
+  const CancelRun cancel{record.run, record.backend_incarnation,
+                         ToWire(record.deadline)};
+  out.datagrams.push_back({Lane::kBackend, backend, Encode(cancel)});
+}
+
+void SendNeedRunParts(const RequestRecord& record,
+                      const Endpoint& backend,
+                      Output& out) {
+  NeedRunParts question{record.run, record.backend_incarnation, {}};
+  for (uint32_t index = 0; index < record.have.size(); ++index) {
+    if (!record.have[index] && question.missing.size() < kPartsPerQuestion)
+      question.missing.push_back(index);
+  }
+  out.datagrams.push_back({Lane::kBackend, backend, Encode(question)});
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/request_type.h
@@ -0,0 +1,75 @@
+/** @file request_type.h What a balancer remembers of one request. */
+
+#ifndef CUMINVANE_CORE_REQUEST_TYPE_H_
+#define CUMINVANE_CORE_REQUEST_TYPE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/endpoint_type.h"
+#include "core/ids_type.h"
+#include "core/message_type.h"
+#include "core/result_type.h"
+#include "core/time_type.h"
+
+namespace cuminvane {
+
+/** The way a caller's packet came, and its answer goes back. */
+struct CallerPath {
+  Endpoint caller;
+  Endpoint service;
+  Endpoint fabric;
+
+  auto operator<=>(const CallerPath&) const = default;
+};
+
+/** How far a request has come. */
+enum class RequestState : uint8_t {
+  kSent,        ///< Sent to a backend server that has not said yet that it has it.
+  kAccepted,    ///< A backend server has it.
+  kWithdrawing, ///< Cancellation asked for; whether it started is not known yet.
+  kAnswered,    ///< The whole answer is here, or was delivered.
+  kNotRun,      ///< Not run, and it never will be.
+  kUnknown,     ///< May have been run; never sent again.
+};
+
+/** @return Whether the state can still change. */
+constexpr bool IsOpen(RequestState state) {
+  return state == RequestState::kSent || state == RequestState::kAccepted ||
+         state == RequestState::kWithdrawing;
+}
+
+/** The record of one request; it outlives the request's deadline, so that no late duplicate is run. */
+struct RequestRecord {
+  RequestNumber number;
+  ClassId work_class;
+  bool idempotent = false;
+  uint64_t fingerprint = 0;  ///< Of class, deadline and payload; tells a repeat from a number used twice.
+  TimePoint arrived_at;
+  TimePoint deadline;
+  TimePoint forget_at;  ///< After the deadline; from then on a duplicate is refused by its deadline alone.
+  TimePoint act_at = kNever;  ///< When to look at it again.
+  RequestState state = RequestState::kSent;
+  ResultCode code = ResultCode::kPending;
+  bool cancelled = false;  ///< The caller has given it up.
+  bool delivered = false;  ///< The caller has the whole answer.
+  RunId run;
+  VmId backend;
+  Incarnation backend_incarnation;
+  int dispatches = 0;
+  int silent_polls = 0;  ///< Questions the backend server did not answer.
+  CallerPath path;
+  ServiceId service;
+  std::string payload;             ///< Kept while it may have to be sent again.
+  std::vector<std::string> parts;  ///< Of the answer; empty strings are missing.
+  std::vector<bool> have;          ///< Which parts are here.
+  size_t arrived = 0;              ///< Number of parts here.
+  size_t answer_bytes = 0;
+
+  bool operator==(const RequestRecord&) const = default;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_REQUEST_TYPE_H_
--- /dev/null
+++ b/src/core/result_type.cc
@@ -0,0 +1,40 @@
+/** @file result_type.cc Look-ups in the table of result codes. */
+
+#include "core/result_type.h"
+
+#include <algorithm>
+
+#include "table/result_codes.h"
+
+namespace cuminvane {
+namespace {
+
+/** Exit code of a process whose result code does not fit into a byte. */
+constexpr int kExitOther = 1;
+constexpr int kExitLimit = 100;
+
+const ResultCodeRow* FindRow(ResultCode code) {
+  const auto* const row = std::ranges::lower_bound(kResultCodes, code, {},
+                                                   &ResultCodeRow::code);
+  const bool listed = row != kResultCodes.end() && row->code == code;
+  return listed ? row : nullptr;
+}
+
+}  // namespace
+
+const char* ToString(ResultCode code) {
+  const ResultCodeRow* const row = FindRow(code);
+  return row == nullptr ? "unlisted" : row->name;
+}
+
+Outcome OutcomeOf(ResultCode code) {
+  const ResultCodeRow* const row = FindRow(code);
+  return row == nullptr ? Outcome::kNone : row->outcome;
+}
+
+int ExitCodeOf(ResultCode code) {
+  const int number = static_cast<int>(code);
+  return number < kExitLimit ? number : kExitOther;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/route_type.h
@@ -0,0 +1,33 @@
+/** @file route_type.h Where a caller's packet goes from the balancer that received it. */
+
+#ifndef CUMINVANE_CORE_ROUTE_TYPE_H_
+#define CUMINVANE_CORE_ROUTE_TYPE_H_
+
+#include "core/endpoint_type.h"
+#include "core/ids_type.h"
+#include "core/message_type.h"
+#include "core/result_type.h"
+
+namespace cuminvane {
+
+enum class RouteKind : uint8_t {
+  kLocal,   ///< This balancer handles it.
+  kRelay,   ///< Another balancer handles it.
+  kRefuse,  ///< The caller gets a verdict.
+  kDrop,    ///< Nobody gets anything.
+};
+
+/** A routing decision. */
+struct Route {
+  RouteKind kind = RouteKind::kDrop;
+  ResultCode code = ResultCode::kOk;  ///< For kRefuse and kDrop.
+  VmId peer;                          ///< For kRelay.
+  Endpoint peer_address;              ///< For kRelay.
+  const char* reason = "";
+
+  bool operator==(const Route&) const = default;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_ROUTE_TYPE_H_
--- /dev/null
+++ b/src/core/schema_func.cc
@@ -0,0 +1,353 @@
+/** @file schema_func.cc Checks documents against schemas. */
+
+#include "core/schema_func.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace cuminvane {
+namespace {
+
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number{};
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc{} || end != last)
+    return std::nullopt;
+  return number;
+}
+
+std::vector<std::string> Split(std::string_view text, char separator) {
+  std::vector<std::string> parts;
+  std::istringstream stream{std::string(text)};
+  std::string part;
+  while (std::getline(stream, part, separator)) {
+    const size_t first = part.find_first_not_of(" \t");
+    if (first == std::string::npos) {
+      parts.emplace_back();
+      continue;
+    }
+    parts.push_back(part.substr(first, part.find_last_not_of(" \t") - first + 1));
+  }
+  return parts;
+}
+
+bool IsWord(std::string_view text) {
+  constexpr std::string_view kAllowed =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+  return !text.empty() &&
+         text.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
+bool IsListOf(std::string_view text, bool (*is_item)(std::string_view)) {
+  const std::vector<std::string> items = Split(text, ',');
+  return !items.empty() && std::ranges::all_of(items, is_item);
+}
+
+bool IsEndpoint(std::string_view text) {
+  return ParseEndpoint(text).has_value();
+}
+
+bool IsWithin(const std::optional<double>& number, const KeyRow& row) {
+  return number && *number >= row.min && *number <= row.max;
+}
+
+bool IsValid(std::string_view text, const KeyRow& row) {
+  switch (row.kind) {
+    case ValueKind::kInteger:
+      return ParseNumber<int64_t>(text) && IsWithin(ParseNumber<double>(text), row);
+    case ValueKind::kDecimal:
+      return IsWithin(ParseNumber<double>(text), row);
+    case ValueKind::kBoolean:
+      return text == "yes" || text == "no";
+    case ValueKind::kWord:
+      return IsWord(text);
+    case ValueKind::kWordList:
+      return IsListOf(text, IsWord);
+    case ValueKind::kEndpoint:
+      return IsEndpoint(text);
+    case ValueKind::kEndpointList:
+      return IsListOf(text, IsEndpoint);
+    case ValueKind::kHex:
+      return text.size() == static_cast<size_t>(row.max) && ParseHex(text);
+    case ValueKind::kTime:
+      return ParseTime(text).has_value();
+    case ValueKind::kChoice:
+      return std::ranges::count(Split(row.choices, '|'), text) != 0;
+  }
+  return false;
+}
+
+std::string FormatNumber(double number) {
+  std::ostringstream out;
+  out << std::setprecision(15) << number;
+  return out.str();
+}
+
+std::string FormatAllowed(const KeyRow& row) {
+  const std::string range =
+      FormatNumber(row.min) + " to " + FormatNumber(row.max);
+  switch (row.kind) {
+    case ValueKind::kInteger:
+      return "integer " + range;
+    case ValueKind::kDecimal:
+      return "number " + range;
+    case ValueKind::kBoolean:
+      return "yes or no";
+    case ValueKind::kWord:
+      return "a word of letters, digits, - _ .";
+    case ValueKind::kWordList:
+      return "words parted by commas";
+    case ValueKind::kEndpoint:
+      return "A.B.C.D:PORT";
+    case ValueKind::kEndpointList:
+      return "A.B.C.D:PORT parted by commas";
+    case ValueKind::kHex:
+      return FormatNumber(row.max) + " hexadecimal digits";
+    case ValueKind::kTime:
+      return "YYYY-MM-DDTHH:MM:SSZ";
+    case ValueKind::kChoice:
+      return row.choices;
+  }
+  return "";
+}
+
+/** Collects the problems of one document. */
+class Checker {
+ public:
+  Checker(const IniDocument& document, const Schema& schema, IniProblems& problems)
+      : document(document), schema(schema), problems(problems) {}
+
+  void CheckAll() {
+    for (const IniSection& section : this->document.sections)
+      this->CheckSection(section);
+    for (const SectionRow& row : this->schema.sections) {
+      if (row.required && !this->HasSection(row))
+        this->Add(0, row.section, "", "nothing", "at least one such section");
+    }
+  }
+
+ private:
+  void Add(int line,
+           std::string section,
+           std::string key,
+           std::string found,
+           std::string allowed) {
+    this->problems.push_back({this->document.file, line, std::move(section),
+                              std::move(key), std::move(found),
+                              std::move(allowed)});
+  }
+
+  bool HasSection(const SectionRow& row) const {
+    return std::ranges::any_of(
+        this->document.sections, [&row](const IniSection& section) {
+          return SectionKind(section.name) == row.section;
+        });
+  }
+
+  std::string AllowedSections() const {
+    std::string allowed;
+    for (const SectionRow& row : this->schema.sections) {
+      allowed += std::string(allowed.empty() ? "" : " ") + "[" + row.section +
+                 (row.named ? " NAME]" : "]");
+    }
+    return allowed;
+  }
+
+  void CheckSection(const IniSection& section) {
+    const std::string_view kind = SectionKind(section.name);
+    const auto row =
+        std::ranges::find(this->schema.sections, kind, &SectionRow::section);
+    if (row == this->schema.sections.end()) {
+      this->Add(section.line, section.name, "", "an unknown section",
+                this->AllowedSections());
+      return;
+    }
+    const std::string_view name =
+        std::string_view(section.name)
+            .substr(std::min(section.name.size(), kind.size() + 1));
+    if (row->named != IsWord(name) || (!row->named && kind != section.name)) {
+      this->Add(section.line, section.name, "", "[" + section.name + "]",
+                row->named ? "[" + std::string(kind) + " NAME]"
+                           : "[" + std::string(kind) + "]");
+    }
+    for (const IniEntry& entry : section.entries)
+      this->CheckEntry(section, kind, entry);
+    this->CheckMissing(section, kind);
+  }
+
+  void CheckEntry(const IniSection& section,
+                  std::string_view kind,
+                  const IniEntry& entry) {
+    const KeyRow* const row = this->FindKey(kind, entry.key);
+    if (row == nullptr) {
+      this->Add(entry.line, section.name, entry.key, "an unknown key",
+                this->AllowedKeys(kind));
+      return;
+    }
+    if (!IsValid(entry.value, *row))
+      this->Add(entry.line, section.name, entry.key, entry.value,
+                FormatAllowed(*row));
+  }
+
+  void CheckMissing(const IniSection& section, std::string_view kind) {
+    for (const KeyRow& row : this->schema.keys) {
+      const bool missing =
+          row.section == kind && row.initial == nullptr &&
+          std::ranges::find(section.entries, row.key, &IniEntry::key) ==
+              section.entries.end();
+      if (missing)
+        this->Add(section.line, section.name, row.key, "nothing",
+                  FormatAllowed(row));
+    }
+  }
+
+  const KeyRow* FindKey(std::string_view kind, std::string_view key) const {
+    for (const KeyRow& row : this->schema.keys) {
+      if (row.section == kind && row.key == key)
+        return &row;
+    }
+    return nullptr;
+  }
+
+  std::string AllowedKeys(std::string_view kind) const {
+    std::string allowed;
+    for (const KeyRow& row : this->schema.keys) {
+      if (row.section == kind)
+        allowed += std::string(allowed.empty() ? "" : " ") + row.key;
+    }
+    return allowed;
+  }
+
+  const IniDocument& document;
+  const Schema& schema;
+  IniProblems& problems;
+};
+
+}  // namespace
+
+void CheckSchema(const IniDocument& document,
+                 const Schema& schema,
+                 IniProblems& problems) {
+  Checker(document, schema, problems).CheckAll();
+}
+
+SectionReader::SectionReader(const IniSection& section, const Schema& schema)
+    : section(section), schema(schema) {}
+
+std::string SectionReader::Name() const {
+  const size_t space = this->section.name.find(' ');
+  return space == std::string::npos ? "" : this->section.name.substr(space + 1);
+}
+
+std::string SectionReader::Text(std::string_view key) const {
+  const auto entry =
+      std::ranges::find(this->section.entries, key, &IniEntry::key);
+  if (entry != this->section.entries.end())
+    return entry->value;
+  const std::string_view kind = SectionKind(this->section.name);
+  for (const KeyRow& row : this->schema.keys) {
+    if (row.section == kind && row.key == key && row.initial != nullptr)
+      return row.initial;
+  }
+  return "";
+}
+
+int64_t SectionReader::Integer(std::string_view key) const {
+  return ParseNumber<int64_t>(this->Text(key)).value_or(0);
+}
+
+double SectionReader::Decimal(std::string_view key) const {
+  return ParseNumber<double>(this->Text(key)).value_or(0);
+}
+
+bool SectionReader::Boolean(std::string_view key) const {
+  return this->Text(key) == "yes";
+}
+
+Endpoint SectionReader::Address(std::string_view key) const {
+  return ParseEndpoint(this->Text(key)).value_or(Endpoint{});
+}
+
+std::vector<std::string> SectionReader::List(std::string_view key) const {
+  return Split(this->Text(key), ',');
+}
+
+std::optional<TimePoint> SectionReader::Time(std::string_view key) const {
+  return ParseTime(this->Text(key));
+}
+
+int SectionReader::Line(std::string_view key) const {
+  const auto entry =
+      std::ranges::find(this->section.entries, key, &IniEntry::key);
+  return entry == this->section.entries.end() ? this->section.line
+                                              : entry->line;
+}
+
+std::string_view SectionKind(std::string_view name) {
+  return name.substr(0, name.find(' '));
+}
+
+std::string FormatSchema(const Schema& schema) {
+  std::ostringstream out;
+  for (const SectionRow& section : schema.sections) {
+    out << "### `[" << section.section << (section.named ? " NAME" : "")
+        << "]`\n\n"
+        << section.meaning << (section.required ? " Required." : "") << "\n\n"
+        << "| key | allowed | default | meaning |\n| --- | --- | --- | --- |\n";
+    for (const KeyRow& row : schema.keys) {
+      if (std::string_view(row.section) != section.section)
+        continue;
+      std::string allowed = FormatAllowed(row);
+      std::ranges::replace(allowed, '|', '/');
+      const std::string initial = row.initial == nullptr ? "(required)"
+                                  : *row.initial == '\0' ? "(none)"
+                                                         : row.initial;
+      out << "| `" << row.key << "` | " << allowed << " | " << initial << " | "
+          << row.meaning << " |\n";
+    }
+    out << "\n";
+  }
+  return out.str();
+}
+
+std::optional<TimePoint> ParseTime(std::string_view text) {
+  constexpr size_t kLength = 20;  // YYYY-MM-DDTHH:MM:SSZ
+  if (text.size() != kLength || text[4] != '-' || text[7] != '-' ||
+      text[10] != 'T' || text[13] != ':' || text[16] != ':' || text[19] != 'Z')
+    return std::nullopt;
+  const auto year = ParseNumber<int>(text.substr(0, 4));
+  const auto month = ParseNumber<unsigned>(text.substr(5, 2));
+  const auto day = ParseNumber<unsigned>(text.substr(8, 2));
+  const auto hour = ParseNumber<unsigned>(text.substr(11, 2));
+  const auto minute = ParseNumber<unsigned>(text.substr(14, 2));
+  const auto second = ParseNumber<unsigned>(text.substr(17, 2));
+  if (!year || !month || !day || !hour || !minute || !second)
+    return std::nullopt;
+  const std::chrono::year_month_day date{std::chrono::year(*year),
+                                         std::chrono::month(*month),
+                                         std::chrono::day(*day)};
+  if (!date.ok() || *hour > 23 || *minute > 59 || *second > 59)
+    return std::nullopt;
+  return TimePoint(std::chrono::sys_days(date)) + std::chrono::hours(*hour) +
+         std::chrono::minutes(*minute) + Seconds(*second);
+}
+
+std::optional<std::string> ParseHex(std::string_view text) {
+  std::string bytes(text.size() / 2, '\0');
+  size_t length = 0;
+  const int failed = sodium_hex2bin(
+      reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
+      text.size(), nullptr, &length, nullptr);
+  if (failed != 0 || length * 2 != text.size())
+    return std::nullopt;
+  return bytes;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/settings_func.cc
@@ -0,0 +1,105 @@
+/** @file settings_func.cc Parsing of a balancer's settings file. */
+
+#include "core/settings_func.h"
+
+#include <algorithm>
+
+#include "core/decision_func.h"
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "table/settings_table.h"
+
+namespace cuminvane {
+namespace {
+
+Milliseconds ReadMs(const SectionReader& section, std::string_view key) {
+  return Milliseconds(section.Integer(key));
+}
+
+void ReadVmSection(const SectionReader& section, Settings& settings) {
+  settings.id = VmId{static_cast<uint32_t>(section.Integer("id"))};
+  settings.incarnation =
+      Incarnation{static_cast<uint64_t>(section.Integer("incarnation"))};
+  settings.data_centre = section.Text("data_centre");
+  settings.threads = static_cast<int>(section.Integer("threads"));
+  settings.shards = static_cast<int>(section.Integer("shards"));
+}
+
+void ReadListenSection(const SectionReader& section, Settings& settings) {
+  settings.fabric = section.Address("fabric");
+  settings.backend = section.Address("backend");
+  settings.peer = section.Address("peer");
+  settings.control_port = static_cast<uint16_t>(section.Integer("control_port"));
+  settings.control_threads =
+      static_cast<int>(section.Integer("control_threads"));
+}
+
+void ReadPlatformSection(const SectionReader& section, Settings& settings) {
+  settings.platform = section.Address("address");
+  settings.watch = ReadMs(section, "watch_ms");
+  settings.platform_retry = ReadMs(section, "retry_ms");
+}
+
+void ReadLogSection(const SectionReader& section, Settings& settings) {
+  for (const Topic topic : kTopics) {
+    settings.log_levels.least[static_cast<size_t>(topic)] =
+        ParseSeverity(section.Text(ToString(topic))).value_or(Severity::kInfo);
+  }
+  settings.input_lines_per_s =
+      static_cast<int>(section.Integer("input_lines_per_s"));
+}
+
+void ReadRequestsSection(const SectionReader& section, Settings& settings) {
+  settings.requests = {
+      ReadMs(section, "deadline_limit_ms"),
+      static_cast<size_t>(section.Integer("records_per_flow")),
+      static_cast<size_t>(section.Integer("records_per_shard")),
+      static_cast<size_t>(section.Integer("answer_limit_bytes")),
+      ReadMs(section, "accept_timeout_ms"),
+      static_cast<int>(section.Integer("retry_percent"))};
+}
+
+void ReadMembershipSection(const SectionReader& section, Settings& settings) {
+  settings.membership = {ReadMs(section, "probe_ms"),
+                         ReadMs(section, "probe_timeout_ms"),
+                         ReadMs(section, "suspicion_ms")};
+  for (const std::string& text : section.List("peers")) {
+    if (const std::optional<Endpoint> peer = ParseEndpoint(text))
+      settings.first_peers.push_back(*peer);
+  }
+}
+
+void ReadStopSection(const SectionReader& section, Settings& settings) {
+  settings.stop_grace = ReadMs(section, "grace_ms");
+  settings.stop_linger = ReadMs(section, "linger_ms");
+}
+
+}  // namespace
+
+SettingsCheck CheckSettings(const std::string& file, std::string_view text) {
+  SettingsCheck check;
+  const IniDocument document = ReadIni(file, text, check.problems);
+  CheckSchema(document, kSettingsSchema, check.problems);
+  using Reader = void (*)(const SectionReader&, Settings&);
+  constexpr std::array<std::pair<std::string_view, Reader>, 7> kReaders = {{
+      {"vm", ReadVmSection},
+      {"listen", ReadListenSection},
+      {"platform", ReadPlatformSection},
+      {"log", ReadLogSection},
+      {"requests", ReadRequestsSection},
+      {"membership", ReadMembershipSection},
+      {"stop", ReadStopSection},
+  }};
+  for (const auto& [name, read] : kReaders) {
+    // A section that is not there reads as its defaults.
+    const IniSection absent{std::string(name), 0, {}};
+    const auto found =
+        std::ranges::find(document.sections, name, &IniSection::name);
+    const IniSection& section =
+        found == document.sections.end() ? absent : *found;
+    read(SectionReader(section, kSettingsSchema), check.settings);
+  }
+  return check;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/settings_func.h
@@ -0,0 +1,29 @@
+/** @file settings_func.h Parses a balancer's settings file. */
+
+#ifndef CUMINVANE_CORE_SETTINGS_FUNC_H_
+#define CUMINVANE_CORE_SETTINGS_FUNC_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/ini_type.h"
+#include "core/settings_type.h"
+
+namespace cuminvane {
+
+/** Parsed settings, or everything that is wrong with them. */
+struct SettingsCheck {
+  Settings settings;
+  IniProblems problems;  ///< Empty means that settings holds the file.
+};
+
+/**
+ * @param file Name used in messages.
+ * @param text The whole file.
+ * @return The settings, or every problem in one go.
+ */
+SettingsCheck CheckSettings(const std::string& file, std::string_view text);
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_SETTINGS_FUNC_H_
--- /dev/null
+++ b/src/core/settings_type.h
@@ -0,0 +1,65 @@
+/** @file settings_type.h A balancer's settings as values. */
+
+#ifndef CUMINVANE_CORE_SETTINGS_TYPE_H_
+#define CUMINVANE_CORE_SETTINGS_TYPE_H_
+
+#include <string>
+#include <vector>
+
+#include "core/decision_type.h"
+#include "core/endpoint_type.h"
+#include "core/ids_type.h"
+#include "core/time_type.h"
+
+namespace cuminvane {
+
+/** Limits on requests. */
+struct RequestLimits {
+  Milliseconds deadline_limit{60000};  ///< Furthest deadline accepted.
+  size_t records_per_flow = 64;        ///< Requests remembered for a flow.
+  size_t records_per_shard = 65536;    ///< Requests remembered in a shard.
+  size_t answer_limit_bytes = 1048576; ///< Largest answer kept.
+  Milliseconds accept_timeout{100};    ///< Wait for acceptance.
+  int retry_percent = 10;              ///< Retries per hundred requests.
+
+  bool operator==(const RequestLimits&) const = default;
+};
+
+/** Timing of the heartbeats between balancers. */
+struct MembershipTiming {
+  Milliseconds probe{200};         ///< Time between two probes.
+  Milliseconds probe_timeout{60};  ///< Wait for a direct answer.
+  Milliseconds suspicion{800};     ///< Time a suspect has to refute.
+
+  bool operator==(const MembershipTiming&) const = default;
+};
+
+/** Everything in a settings file. */
+struct Settings {
+  VmId id;
+  Incarnation incarnation;  ///< 0 takes the start time.
+  std::string data_centre;
+  int threads = 2;
+  int shards = 16;
+  Endpoint fabric;
+  Endpoint backend;
+  Endpoint peer;
+  uint16_t control_port = 0;
+  int control_threads = 2;
+  Endpoint platform;
+  Milliseconds watch{10000};
+  Milliseconds platform_retry{500};
+  LogLevels log_levels;
+  int input_lines_per_s = 10;
+  RequestLimits requests;
+  MembershipTiming membership;
+  std::vector<Endpoint> first_peers;  ///< Asked at the start.
+  Milliseconds stop_grace{30000};
+  Milliseconds stop_linger{2000};
+
+  bool operator==(const Settings&) const = default;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_SETTINGS_TYPE_H_
--- /dev/null
+++ b/src/core/vmlist_func.cc
@@ -0,0 +1,80 @@
+/** @file vmlist_func.cc Parsing of the platform's list of VMs. */
+
+#include "core/vmlist_func.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "core/config_func.h"
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "table/vmlist_table.h"
+
+namespace cuminvane {
+namespace {
+
+VmId ParseVmId(const std::string& name) {
+  uint32_t number = 0;
+  const char* const last = name.data() + name.size();
+  const auto [end, error] = std::from_chars(name.data(), last, number);
+  return error == std::errc{} && end == last ? VmId{number} : VmId{};
+}
+
+Vm ReadVm(const SectionReader& section) {
+  Vm vm;
+  vm.id = ParseVmId(section.Name());
+  vm.incarnation =
+      Incarnation{static_cast<uint64_t>(section.Integer("incarnation"))};
+  vm.role = section.Text("role") == "balancer" ? VmRole::kBalancer
+                                               : VmRole::kBackend;
+  vm.service = ServiceIdOf(section.Text("service"));
+  vm.data_centre = section.Text("data_centre");
+  vm.address = section.Address("address");
+  vm.peer_address = section.Address("peer_address");
+  vm.control_address = section.Address("control_address");
+  vm.leaving = section.Text("state") == "leaving";
+  return vm;
+}
+
+void CheckVm(const std::string& file,
+             const IniSection& raw,
+             const SectionReader& section,
+             IniProblems& problems) {
+  if (ParseVmId(section.Name()) == VmId{})
+    problems.push_back({file, raw.line, raw.name, "", section.Name(),
+                        "integer 1 to 4294967295"});
+  const bool balancer = section.Text("role") == "balancer";
+  if (!balancer && section.Text("service").empty())
+    problems.push_back({file, raw.line, raw.name, "service", "nothing",
+                        "the service of the backend server"});
+  if (balancer && section.Text("peer_address").empty())
+    problems.push_back({file, raw.line, raw.name, "peer_address", "nothing",
+                        "A.B.C.D:PORT"});
+}
+
+}  // namespace
+
+VmListCheck CheckVmList(const std::string& file, std::string_view text) {
+  VmListCheck check;
+  const IniDocument document = ReadIni(file, text, check.problems);
+  CheckSchema(document, kVmListSchema, check.problems);
+  for (const IniSection& raw : document.sections) {
+    const SectionReader section(raw, kVmListSchema);
+    if (raw.name == "list")
+      check.list.version =
+          ConfigVersion{static_cast<uint64_t>(section.Integer("version"))};
+    if (SectionKind(raw.name) != "vm")
+      continue;
+    CheckVm(file, raw, section, check.problems);
+    check.list.vms.push_back(ReadVm(section));
+  }
+  std::ranges::sort(check.list.vms, {}, &Vm::id);
+  return check;
+}
+
+const Vm* FindVm(const VmList& list, VmId id) {
+  const auto vm = std::ranges::lower_bound(list.vms, id, {}, &Vm::id);
+  return vm != list.vms.end() && vm->id == id ? &*vm : nullptr;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/core/window_base.h
@@ -0,0 +1,54 @@
+/** @file window_base.h The requests remembered for one flow: a bounded window that never loses an open request. */
+
+#ifndef CUMINVANE_CORE_WINDOW_BASE_H_
+#define CUMINVANE_CORE_WINDOW_BASE_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/request_type.h"
+
+namespace cuminvane {
+
+/**
+ * Records of one flow by number.
+ *
+ * A number at or below the floor without a record was forgotten: its outcome is unknown. A number above the floor
+ * without a record was never taken by this balancer.
+ */
+class FlowWindow {
+ public:
+  /** @return The record, null where there is none. */
+  RequestRecord* Find(RequestNumber number);
+
+  /** @return Whether a number without a record was once remembered, or may have been. */
+  bool IsForgotten(RequestNumber number) const { return number <= this->floor; }
+
+  /** @return The oldest ended record, taken out of the window; nothing where all are open. */
+  std::optional<RequestRecord> ForgetOldest();
+
+  /** Adds a record; its number must have none. */
+  RequestRecord& Add(RequestRecord record);
+
+  /** @return The ended records whose time has come, taken out of the window. */
+  std::vector<RequestRecord> Forget(TimePoint now);
+
+  /** @return The highest number ever taken. */
+  RequestNumber Highest() const { return this->highest; }
+  /** @return Number of records. */
+  size_t Size() const { return this->records.size(); }
+  /** @return The records by number. */
+  const std::map<RequestNumber, RequestRecord>& Records() const { return this->records; }
+
+ private:
+  RequestRecord TakeOut(std::map<RequestNumber, RequestRecord>::iterator place);
+
+  std::map<RequestNumber, RequestRecord> records;
+  RequestNumber floor;
+  RequestNumber highest;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_WINDOW_BASE_H_
--- /dev/null
+++ b/src/shell/daemon_base.h
@@ -0,0 +1,104 @@
+/** @file daemon_base.h The balancer's process: sockets and threads around the decision core. */
+
+#ifndef CUMINVANE_SHELL_DAEMON_BASE_H_
+#define CUMINVANE_SHELL_DAEMON_BASE_H_
+
+#include <asio.hpp>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "control/control_func.h"
+#include "core/node_base.h"
+#include "core/settings_type.h"
+#include "shell/metrics_base.h"
+#include "shell/socket_base.h"
+
+namespace cuminvane {
+
+using DaemonNode = Node<std::mutex>;
+
+/** One thread that reads the three sockets and carries out what the core decides. */
+class Worker : public std::enable_shared_from_this<Worker> {
+ public:
+  /**
+   * @param node The decision core; must outlive the worker.
+   * @param seed Seed of this thread's random engine.
+   */
+  Worker(DaemonNode& node, uint64_t seed);
+
+  /** Binds the sockets, or shares those of another worker. */
+  Result<void> Open(const Settings& settings, Worker* other);
+
+  /** Begins to read; the pending reads keep the worker alive. */
+  void Start();
+
+  /** Carries out an output that was decided in this worker's thread. */
+  void Carry(TimePoint now, Output& out);
+
+  /** Closes the sockets, which ends the pending reads. */
+  void Close();
+
+  asio::io_context& Context() { return this->context; }
+  RandomEngine& Random() { return this->random; }
+  Metrics& Counts() { return this->metrics; }
+
+ private:
+  void WaitFor(Lane lane);
+  void ReadAll(Lane lane);
+  UdpSocket& SocketOf(Lane lane) { return this->sockets[static_cast<size_t>(lane)]; }
+
+  DaemonNode& node;
+  asio::io_context context;
+  std::array<UdpSocket, kLanes> sockets;
+  RandomEngine random;
+  Metrics metrics;
+  Output out;
+  ReceiveBuffer buffer{};
+};
+
+/** The whole process. */
+class Daemon : public std::enable_shared_from_this<Daemon> {
+ public:
+  /** @param settings Settings that have passed their check; the incarnation must be set. */
+  explicit Daemon(Settings settings);
+
+  /**
+   * Runs until a graceful shutdown is complete.
+   * @return kOk after SIGTERM or SIGINT or a planned stop; kSocketFailure where it could not start.
+   */
+  Result<void> Run();
+
+ private:
+  Result<void> Open();
+  void ScheduleTick();
+  void OnTick();
+  void BeginStop(const char* reason);
+  bool IsStopComplete(TimePoint now) const;
+  void Finish();
+  void Watch(DocumentKind kind);
+  void ReadOnce(DocumentKind kind, RandomEngine& random, Milliseconds& pause);
+  ControlReply Answer(const std::string& method, const std::string& params);
+  std::string StatusJson();
+  ControlReply ChangeLogLevel(const std::string& params);
+
+  const Settings settings;
+  DaemonNode node;
+  std::vector<std::shared_ptr<Worker>> workers;
+  std::unique_ptr<asio::steady_timer> timer;
+  std::unique_ptr<asio::signal_set> signals;
+  std::unique_ptr<ControlServer> control;
+  std::vector<std::thread> threads;
+  std::atomic<bool> closing = false;  ///< Ends the platform's watchers.
+  bool stopping = false;
+  TimePoint linger_until = kNever;
+  TimePoint grace_until = kNever;
+  Output tick_out;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_SHELL_DAEMON_BASE_H_
--- /dev/null
+++ b/src/shell/load_base.cc
@@ -0,0 +1,344 @@
+/** @file load_base.cc The caller's process. */
+
+#include "shell/load_base.h"
+
+#include <asio.hpp>
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+
+#include "core/caller_base.h"
+#include "core/config_func.h"
+#include "shell/clock_func.h"
+#include "shell/program_func.h"
+#include "shell/socket_base.h"
+#include "standin/work_func.h"
+
+namespace cuminvane {
+namespace {
+
+constexpr Milliseconds kTickInterval{2};
+/** Flows open during this share of the time. */
+constexpr double kOpenShare = 0.4;
+constexpr Seconds kOpenPatience{10};
+
+/** Sockets and timer around the caller's core. */
+class CallerProcess {
+ public:
+  explicit CallerProcess(uint64_t seed) : random(seed), caller(this->random), socket(this->context) {}
+
+  Result<void> Open() {
+    BOOST_OUTCOME_TRY(opened, OpenUdp(this->context, Endpoint{0, 0}));
+    this->socket = std::move(opened);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  /** Reads what is there, then waits at most a tick. */
+  void Step() {
+    Endpoint from;
+    while (const auto bytes = Receive(this->socket, this->buffer, from))
+      this->caller.OnPacket(ReadClock(), *bytes, this->out);
+    this->caller.Tick(ReadClock(), this->out);
+    this->Carry();
+    this->socket.async_wait(UdpSocket::wait_read, [](const asio::error_code&) {});
+    this->context.restart();
+    this->context.run_one_for(kTickInterval);
+    asio::error_code ignored;
+    this->socket.cancel(ignored);
+    this->context.restart();
+    this->context.poll();
+  }
+
+  void Carry() {
+    for (const CallerDatagram& datagram : this->out.datagrams)
+      SendTo(this->socket, datagram.service, datagram.bytes);
+    this->out.datagrams.clear();
+  }
+
+  std::vector<CallerEvent> TakeEvents() { return std::exchange(this->out.events, {}); }
+
+  RandomEngine random;
+  Caller caller;
+  CallerOutput out;
+
+ private:
+  asio::io_context context;
+  UdpSocket socket;
+  ReceiveBuffer buffer{};
+};
+
+const char* ToWord(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kNotRun:
+      return "not_run";
+    case Outcome::kUnknown:
+      return "unknown";
+    case Outcome::kNone:
+      return "error";
+  }
+  return "";
+}
+
+const char* ToWord(AnswerCheck check) {
+  switch (check) {
+    case AnswerCheck::kWhole:
+      return "whole";
+    case AnswerCheck::kIncomplete:
+      return "incomplete";
+    case AnswerCheck::kMixed:
+      return "mixed";
+    case AnswerCheck::kWrongService:
+      return "wrong_service";
+  }
+  return "";
+}
+
+/** One flow of the load. */
+struct LoadFlow {
+  size_t mix = 0;
+  FlowHandle handle;
+  FlowId id;
+  int unsent = 0;       ///< Requests still to send.
+  int open = 0;         ///< Requests in progress.
+  bool follow_up = false;
+  bool last_answered = false;  ///< Whether the request that ended last was answered.
+};
+
+/** A request of the load in progress. */
+struct LoadRequest {
+  size_t flow = 0;
+  WorkOrder order;
+};
+
+/** Something the load does at a time. */
+struct LoadStep {
+  TimePoint at;
+  size_t flow = 0;
+  bool opens = false;
+
+  bool operator>(const LoadStep& other) const { return this->at > other.at; }
+};
+
+/** Runs all mixes from one socket, so that all flows share one source address and port. */
+class Load {
+ public:
+  explicit Load(const LoadOptions& options)
+      : options(options), process(options.seed), record(options.record_path, std::ios::app) {}
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->process.Open());
+    this->Plan(ReadClock());
+    while (!this->steps.empty() || !this->requests.empty()) {
+      this->TakeSteps(ReadClock());
+      this->process.Step();
+      this->TakeEvents();
+    }
+    this->Report();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+ private:
+  /** Spreads opens over the first part of the time and requests over the rest. */
+  void Plan(TimePoint begin) {
+    const auto whole = std::chrono::duration<double>(this->options.duration);
+    for (size_t mix = 0; mix < this->options.mixes.size(); ++mix) {
+      for (int number = 0; number < this->options.mixes[mix].flows; ++number) {
+        const size_t flow = this->flows.size();
+        this->flows.push_back({mix, {}, {}, this->options.mixes[mix].requests, 0, false, false});
+        std::uniform_real_distribution<double> opens(0, kOpenShare);
+        const double open = opens(this->process.random);
+        this->steps.push({begin + Spread(whole, open), flow, true});
+        std::uniform_real_distribution<double> asks(open, 1);
+        for (int request = 0; request < this->options.mixes[mix].requests; ++request)
+          this->steps.push({begin + Spread(whole, asks(this->process.random)), flow, false});
+      }
+    }
+  }
+
+  static Microseconds Spread(std::chrono::duration<double> whole, double share) {
+    return std::chrono::duration_cast<Microseconds>(whole * share);
+  }
+
+  void TakeSteps(TimePoint now) {
+    while (!this->steps.empty() && this->steps.top().at <= now) {
+      const LoadStep step = this->steps.top();
+      this->steps.pop();
+      LoadFlow& flow = this->flows[step.flow];
+      if (step.opens) {
+        flow.handle = this->process.caller.OpenFlow(now, this->options.mixes[flow.mix].address, now + kOpenPatience,
+                                                    this->process.out);
+        this->by_handle[flow.handle] = step.flow;
+      } else {
+        --flow.unsent;
+        this->Ask(now, step.flow);
+      }
+    }
+    this->process.Carry();
+  }
+
+  void Ask(TimePoint now, size_t index) {
+    LoadFlow& flow = this->flows[index];
+    const LoadMix& mix = this->options.mixes[flow.mix];
+    std::exponential_distribution<double> busy(1.0);
+    constexpr double kMostBusyMeans = 4;
+    WorkOrder order;
+    order.tag = std::to_string(this->options.seed) + "-" + std::to_string(++this->tags);
+    order.service = mix.service;
+    order.parts = mix.parts;
+    order.busy = std::chrono::duration_cast<Microseconds>(
+        mix.busy * std::min(busy(this->process.random), kMostBusyMeans));
+    const RequestKey key = this->process.caller.Send(now, flow.handle, ClassIdOf(mix.work_class), now + mix.deadline,
+                                                     FormatOrder(order), this->process.out);
+    ++flow.open;
+    this->requests[key] = {index, order};
+  }
+
+  void TakeEvents() {
+    for (const CallerEvent& event : this->process.TakeEvents()) {
+      const size_t index = this->by_handle.at(event.flow_handle);
+      if (event.kind == CallerEvent::Kind::kOpened)
+        this->flows[index].id = event.flow;
+      if (event.kind == CallerEvent::Kind::kFinished)
+        this->OnFinished(event, index);
+    }
+    this->process.Carry();
+  }
+
+  void OnFinished(const CallerEvent& event, size_t index) {
+    const LoadRequest request = this->requests.at(event.request);
+    this->requests.erase(event.request);
+    LoadFlow& flow = this->flows[index];
+    const LoadMix& mix = this->options.mixes[flow.mix];
+    const Outcome outcome = OutcomeOf(event.code);
+    const bool answered = outcome == Outcome::kAnswered;
+    this->record << "event=request tag=" << request.order.tag << " class=" << mix.work_class << " service=" << mix.service
+                 << " idempotent=" << (mix.idempotent ? "yes" : "no") << " flow=" << event.flow.value
+                 << " number=" << event.number.value << " at=" << ToWire(ReadClock())
+                 << " latency_us=" << event.latency.count() << " attempts=" << event.attempts
+                 << " code=" << ToString(event.code) << " outcome=" << ToWord(outcome)
+                 << " check=" << (answered ? ToWord(CheckAnswer(request.order, event.answer)) : "none") << "\n";
+    --flow.open;
+    flow.last_answered = answered;
+    ++this->ends[event.code];
+    if (flow.unsent > 0 || flow.open > 0)
+      return;
+    // A flow whose last request got no answer may still be sound: it is asked once more.
+    if (!answered && !flow.follow_up) {
+      flow.follow_up = true;
+      this->Ask(ReadClock(), index);
+      return;
+    }
+    this->record << "event=flow flow=" << event.flow.value << " class=" << mix.work_class << "\n";
+    if (!answered)
+      this->record << "event=flow_broken flow=" << event.flow.value << " class=" << mix.work_class << "\n";
+  }
+
+  void Report() {
+    std::cout << "flows=" << this->flows.size() << " requests=" << this->tags;
+    for (const auto& [code, count] : this->ends)
+      std::cout << " " << ToString(code) << "=" << count;
+    std::cout << "\n";
+  }
+
+  LoadOptions options;
+  CallerProcess process;
+  std::ofstream record;
+  std::vector<LoadFlow> flows;
+  std::map<FlowHandle, size_t> by_handle;
+  std::map<RequestKey, LoadRequest> requests;
+  std::priority_queue<LoadStep, std::vector<LoadStep>, std::greater<>> steps;
+  std::map<ResultCode, uint64_t> ends;
+  uint64_t tags = 0;
+};
+
+/** Sets one value of a mix; false where the key or the value is none. */
+bool SetMixValue(LoadMix& mix, const std::string& key, const std::string& value) {
+  const auto number = [&value](auto set) {
+    int parsed = 0;
+    const char* const last = value.data() + value.size();
+    const auto [end, error] = std::from_chars(value.data(), last, parsed);
+    if (error != std::errc{} || end != last || parsed < 0)
+      return false;
+    set(parsed);
+    return true;
+  };
+  if (key == "service") {
+    mix.service = value;
+    return true;
+  }
+  if (key == "class") {
+    mix.work_class = value;
+    return true;
+  }
+  if (key == "idempotent") {
+    mix.idempotent = value == "yes";
+    return value == "yes" || value == "no";
+  }
+  if (key == "address") {
+    mix.address = ParseEndpoint(value).value_or(Endpoint{});
+    return mix.address != Endpoint{};
+  }
+  if (key == "flows")
+    return number([&mix](int parsed) { mix.flows = parsed; });
+  if (key == "requests")
+    return number([&mix](int parsed) { mix.requests = parsed; });
+  if (key == "parts")
+    return number([&mix](int parsed) { mix.parts = static_cast<uint32_t>(parsed); });
+  if (key == "busy_ms")
+    return number([&mix](int parsed) { mix.busy = Milliseconds(parsed); });
+  if (key == "deadline_ms")
+    return number([&mix](int parsed) { mix.deadline = Milliseconds(parsed); });
+  return false;
+}
+
+}  // namespace
+
+Result<LoadMix> ParseMix(const std::string& text) {
+  LoadMix mix;
+  std::istringstream pairs(text);
+  std::string pair;
+  while (std::getline(pairs, pair, ';')) {
+    const size_t equals = pair.find('=');
+    const bool taken = equals != std::string::npos && SetMixValue(mix, pair.substr(0, equals), pair.substr(equals + 1));
+    if (!taken)
+      return Error{ResultCode::kUsage, "--mix: " + pair + " is not understood"};
+  }
+  if (mix.address == Endpoint{} || mix.work_class.empty() || mix.service.empty())
+    return Error{ResultCode::kUsage, "--mix: service, address and class are needed"};
+  return mix;
+}
+
+ResultCode RunLoad(const LoadOptions& options) {
+  const Result<void> ended = Load(options).Run();
+  return ended ? ResultCode::kOk : Complain(ended.error());
+}
+
+ResultCode CallOnce(const OneCall& call) {
+  CallerProcess process(std::random_device{}());
+  const Result<void> opened = process.Open();
+  if (!opened)
+    return Complain(opened.error());
+  const TimePoint now = ReadClock();
+  const TimePoint deadline = now + call.deadline;
+  const FlowHandle flow = process.caller.OpenFlow(now, call.service, deadline, process.out);
+  process.caller.Send(now, flow, ClassIdOf(call.work_class), deadline, call.text, process.out);
+  while (true) {
+    process.Step();
+    for (const CallerEvent& event : process.TakeEvents()) {
+      if (event.kind != CallerEvent::Kind::kFinished)
+        continue;
+      std::cout << event.answer << (event.answer.empty() ? "" : "\n");
+      const std::string told = std::string("the request ended as ") + ToString(event.code) + ": " +
+                               ToWord(OutcomeOf(event.code));
+      return event.code == ResultCode::kOk ? ResultCode::kOk : Complain({event.code, told});
+    }
+  }
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/shell/log_func.cc
@@ -0,0 +1,118 @@
+/** @file log_func.cc Logging through Boost.Log. */
+
+#include "shell/log_func.h"
+
+#include <array>
+#include <atomic>
+#include <boost/date_time/posix_time/posix_time_types.hpp>
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/core/null_deleter.hpp>
+#include <boost/make_shared.hpp>
+#include <iostream>
+
+#include "core/decision_func.h"
+
+namespace cuminvane {
+namespace {
+
+namespace log = boost::log;
+
+/** Lines waiting to be written; more are dropped, so that a slow reader of the log never slows packets. */
+constexpr size_t kQueueLines = 65536;
+
+using Sink = log::sinks::asynchronous_sink<
+    log::sinks::text_ostream_backend,
+    log::sinks::bounded_fifo_queue<kQueueLines, log::sinks::drop_on_overflow>>;
+
+std::array<std::atomic<Severity>, kTopics.size()> least_severities;
+std::string process_name;
+std::atomic<int> input_limit = 0;
+std::atomic<int64_t> input_second = 0;
+std::atomic<int> input_lines = 0;
+
+/** Stops the writing thread after the last line, when the process ends. */
+struct SinkOwner {
+  boost::shared_ptr<Sink> sink;
+
+  ~SinkOwner() {
+    if (this->sink == nullptr)
+      return;
+    log::core::get()->remove_sink(this->sink);
+    this->sink->stop();
+    this->sink->flush();
+  }
+};
+
+SinkOwner& TheSink() {
+  static SinkOwner owner;
+  return owner;
+}
+
+bool IsWithinInputLimit(TimePoint now) {
+  const int64_t second = std::chrono::duration_cast<Seconds>(now.time_since_epoch()).count();
+  if (input_second.exchange(second) != second)
+    input_lines = 0;
+  return input_lines++ < input_limit;
+}
+
+}  // namespace
+
+void StartLog(const std::string& process, const LogLevels& levels, int input_lines_per_s) {
+  process_name = process;
+  input_limit = input_lines_per_s;
+  for (const Topic topic : kTopics)
+    SetLogLevel(topic, levels.least.at(static_cast<size_t>(topic)));
+  log::core::get()->add_global_attribute("TimeStamp", log::attributes::utc_clock());
+  auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  auto sink = boost::make_shared<Sink>(backend);
+  sink->set_formatter(
+      log::expressions::stream << "time="
+                               << log::expressions::format_date_time<boost::posix_time::ptime>(
+                                      "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+                               << " " << log::expressions::smessage);
+  log::core::get()->add_sink(sink);
+  TheSink().sink = sink;
+}
+
+void SetLogLevel(Topic topic, Severity least) {
+  least_severities.at(static_cast<size_t>(topic)) = least;
+}
+
+LogLevels CurrentLogLevels() {
+  LogLevels levels;
+  for (const Topic topic : kTopics)
+    levels.least.at(static_cast<size_t>(topic)) = least_severities.at(static_cast<size_t>(topic));
+  return levels;
+}
+
+bool IsLogged(Topic topic, Severity severity) {
+  return severity >= least_severities.at(static_cast<size_t>(topic)).load();
+}
+
+void LogDecision(TimePoint now, const Decision& decision) {
+  if (!IsLogged(decision.topic, decision.severity))
+    return;
+  if (decision.topic == Topic::kInput && !IsWithinInputLimit(now))
+    return;
+  LogLine(decision.topic, decision.severity, FormatDecision(decision));
+}
+
+void LogLine(Topic topic, Severity severity, const std::string& pairs) {
+  if (!IsLogged(topic, severity))
+    return;
+  static log::sources::logger_mt logger;
+  BOOST_LOG(logger) << "process=" << process_name << " topic=" << ToString(topic) << " severity=" << ToString(severity)
+                    << " " << pairs;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/shell/metrics_base.cc
@@ -0,0 +1,150 @@
+/** @file metrics_base.cc Counters and histograms. */
+
+#include "shell/metrics_base.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/config_func.h"
+#include "core/decision_func.h"
+
+namespace cuminvane {
+namespace {
+
+/** Answer times from 0.1 ms to 100 s in steps of about 12 %. */
+constexpr unsigned kLatencyBins = 120;
+constexpr double kLeastMs = 0.1;
+constexpr double kMostMs = 100000;
+
+LatencyHistogram MakeLatencyHistogram() {
+  namespace histogram = boost::histogram;
+  return histogram::make_histogram(
+      histogram::axis::regular<double, histogram::axis::transform::log>(kLatencyBins, kLeastMs, kMostMs));
+}
+
+const char* ToWord(Lane lane) {
+  switch (lane) {
+    case Lane::kFabric:
+      return "fabric";
+    case Lane::kBackend:
+      return "backend";
+    case Lane::kPeer:
+      return "peer";
+  }
+  return "";
+}
+
+void Add(Traffic& sum, const Traffic& more) {
+  sum.datagrams += more.datagrams;
+  sum.bytes += more.bytes;
+}
+
+Json::Value TrafficToJson(const Traffic& traffic) {
+  Json::Value json;
+  json["datagrams"] = static_cast<Json::UInt64>(traffic.datagrams);
+  json["bytes"] = static_cast<Json::UInt64>(traffic.bytes);
+  return json;
+}
+
+/** Upper edge of the bin that the share of the counts lies below. */
+double Quantile(const LatencyHistogram& histogram, double share) {
+  double total = 0;
+  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all))
+    total += static_cast<double>(*bin);
+  double seen = 0;
+  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+    seen += static_cast<double>(*bin);
+    if (seen >= share * total)
+      return bin.bin().upper();
+  }
+  return 0;
+}
+
+Json::Value HistogramToJson(const LatencyHistogram& histogram) {
+  Json::Value bins(Json::arrayValue);
+  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+    if (*bin == 0)
+      continue;
+    Json::Value entry;
+    entry["bin"] = bin.index();
+    entry["count"] = static_cast<Json::UInt64>(*bin);
+    bins.append(entry);
+  }
+  return bins;
+}
+
+}  // namespace
+
+void Metrics::Count(const Output& out) {
+  const std::lock_guard hold(this->mutex);
+  for (const Decision& decision : out.decisions) {
+    ++this->events[{decision.topic, decision.event, decision.code}];
+  }
+  for (const Datagram& datagram : out.datagrams) {
+    Add(this->TrafficOf(datagram.lane).sent, {1, datagram.bytes.size()});
+  }
+  for (const Sample& sample : out.samples) {
+    const auto known = this->classes.try_emplace(sample.work_class, ClassMetrics{MakeLatencyHistogram(), {}}).first;
+    ++known->second.ends[sample.code];
+    if (sample.code == ResultCode::kOk)
+      known->second.answered_ms(std::chrono::duration<double, std::milli>(sample.latency).count());
+  }
+}
+
+void Metrics::CountReceived(Lane lane, size_t bytes) {
+  const std::lock_guard hold(this->mutex);
+  Add(this->TrafficOf(lane).received, {1, bytes});
+}
+
+void Metrics::CountUnsent(Lane lane) {
+  const std::lock_guard hold(this->mutex);
+  ++this->TrafficOf(lane).unsent;
+}
+
+void Metrics::Merge(const Metrics& other) {
+  const std::scoped_lock hold(this->mutex, other.mutex);
+  for (const auto& [key, count] : other.events)
+    this->events[key] += count;
+  for (size_t lane = 0; lane < kLanes; ++lane) {
+    Add(this->traffic[lane].sent, other.traffic[lane].sent);
+    Add(this->traffic[lane].received, other.traffic[lane].received);
+    this->traffic[lane].unsent += other.traffic[lane].unsent;
+  }
+  for (const auto& [id, metrics] : other.classes) {
+    const auto known = this->classes.try_emplace(id, ClassMetrics{MakeLatencyHistogram(), {}}).first;
+    known->second.answered_ms += metrics.answered_ms;
+    for (const auto& [code, count] : metrics.ends)
+      known->second.ends[code] += count;
+  }
+}
+
+Json::Value Metrics::ToJson(const Config& config) const {
+  const std::lock_guard hold(this->mutex);
+  Json::Value json;
+  for (const auto& [key, count] : this->events) {
+    std::string name = std::string(ToString(key.topic)) + "." + key.event;
+    if (key.code != ResultCode::kOk)
+      name += std::string(".") + ToString(key.code);
+    json["events"][name] = static_cast<Json::UInt64>(count);
+  }
+  for (size_t lane = 0; lane < kLanes; ++lane) {
+    Json::Value& entry = json["traffic"][ToWord(static_cast<Lane>(lane))];
+    entry["sent"] = TrafficToJson(this->traffic[lane].sent);
+    entry["received"] = TrafficToJson(this->traffic[lane].received);
+    entry["unsent"] = static_cast<Json::UInt64>(this->traffic[lane].unsent);
+  }
+  for (const auto& [id, metrics] : this->classes) {
+    const WorkClass* const work = FindClass(config, id);
+    Json::Value& entry = json["classes"][work == nullptr ? ToString(id) : work->name];
+    for (const auto& [code, count] : metrics.ends)
+      entry["ends"][ToString(code)] = static_cast<Json::UInt64>(count);
+    constexpr double kP50 = 0.5;
+    constexpr double kP99 = 0.99;
+    entry["p50_ms"] = Quantile(metrics.answered_ms, kP50);
+    entry["p99_ms"] = Quantile(metrics.answered_ms, kP99);
+    entry["answered_ms"] = HistogramToJson(metrics.answered_ms);
+  }
+  return json;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/shell/status_func.cc
@@ -0,0 +1,89 @@
+/** @file status_func.cc Formatting of a balancer's status. */
+
+#include "shell/status_func.h"
+
+#include <memory>
+
+#include "core/decision_func.h"
+#include "shell/log_func.h"
+
+namespace cuminvane {
+namespace {
+
+Json::Value Number(uint64_t number) {
+  return static_cast<Json::UInt64>(number);
+}
+
+Json::Value MembersToJson(const MemberView& view) {
+  Json::Value members(Json::arrayValue);
+  for (const MemberInfo& member : view.members) {
+    Json::Value entry;
+    entry["vm"] = member.id.vm.value;
+    entry["incarnation"] = Number(member.id.incarnation.value);
+    entry["state"] = ToString(member.State());
+    entry["peer_address"] = ToString(member.peer);
+    members.append(entry);
+  }
+  return members;
+}
+
+Json::Value BackendsToJson(const std::map<VmId, BackendState>& backends, TimePoint now) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& [vm, state] : backends) {
+    Json::Value entry;
+    entry["vm"] = vm.value;
+    entry["incarnation"] = Number(state.incarnation.value);
+    entry["leaving"] = state.leaving;
+    entry["draining"] = state.draining_until > now;
+    entry["avoided"] = state.avoid_until > now;
+    entry["cold"] = state.warm_at > now;
+    entry["outstanding"] = state.outstanding;
+    entry["flows_placed"] = state.placed;
+    list.append(entry);
+  }
+  return list;
+}
+
+}  // namespace
+
+std::string FormatStatus(const BoardView& board,
+                         const NodeLoad& load,
+                         const std::map<VmId, BackendState>& backends,
+                         const Metrics& metrics,
+                         const Settings& settings,
+                         TimePoint now) {
+  const SelfState& self = *board.self.value;
+  Json::Value json;
+  json["vm"] = self.id.vm.value;
+  json["incarnation"] = Number(self.id.incarnation.value);
+  json["data_centre"] = settings.data_centre;
+  json["serving"] = self.serving;
+  json["stopping"] = self.stopping;
+  json["issue_key"] = self.issue_key.value;
+  json["config_version"] = Number(board.config.value->version.value);
+  json["vm_list_version"] = Number(board.vms.value->version.value);
+  json["flows"] = Number(load.flows);
+  json["records"] = Number(load.records);
+  json["unfinished"] = Number(load.unfinished);
+  json["members"] = MembersToJson(*board.members.value);
+  json["backends"] = BackendsToJson(backends, now);
+  json["metrics"] = metrics.ToJson(*board.config.value);
+  const LogLevels levels = CurrentLogLevels();
+  for (const Topic topic : kTopics)
+    json["log"][ToString(topic)] = ToString(levels.least.at(static_cast<size_t>(topic)));
+  return WriteJson(json);
+}
+
+bool ParseJson(const std::string& text, Json::Value& value) {
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+}
+
+std::string WriteJson(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/shell/status_func.h
@@ -0,0 +1,34 @@
+/** @file status_func.h A balancer's status as JSON. */
+
+#ifndef CUMINVANE_SHELL_STATUS_FUNC_H_
+#define CUMINVANE_SHELL_STATUS_FUNC_H_
+
+#include <json/json.h>
+
+#include <map>
+#include <string>
+
+#include "core/board_base.h"
+#include "core/node_base.h"
+#include "core/settings_type.h"
+#include "shell/metrics_base.h"
+
+namespace cuminvane {
+
+/** @return The status as one JSON object. */
+std::string FormatStatus(const BoardView& board,
+                         const NodeLoad& load,
+                         const std::map<VmId, BackendState>& backends,
+                         const Metrics& metrics,
+                         const Settings& settings,
+                         TimePoint now);
+
+/** @return Whether the text is JSON; it is then in `value`. */
+bool ParseJson(const std::string& text, Json::Value& value);
+
+/** @return The value as one line. */
+std::string WriteJson(const Json::Value& value);
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_SHELL_STATUS_FUNC_H_
--- /dev/null
+++ b/src/standin/backend_base.cc
@@ -0,0 +1,236 @@
+/** @file backend_base.cc The stand-in backend server. */
+
+#include "standin/backend_base.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cuminvane {
+namespace {
+
+/** Answers and withdrawals are remembered this long past the run's deadline. */
+constexpr Seconds kMemory{5};
+
+template <class Message>
+void Send(const Endpoint& to, const Message& message, Output& out) {
+  out.datagrams.push_back({Lane::kBackend, to, Encode(message)});
+}
+
+}  // namespace
+
+const char* ToString(BackendEvent::Kind kind) {
+  switch (kind) {
+    case BackendEvent::Kind::kAccepted:
+      return "accepted";
+    case BackendEvent::Kind::kStarted:
+      return "started";
+    case BackendEvent::Kind::kFinished:
+      return "finished";
+    case BackendEvent::Kind::kRefused:
+      return "refused";
+    case BackendEvent::Kind::kCancelled:
+      return "cancelled";
+    case BackendEvent::Kind::kWrongService:
+      return "wrong_service";
+  }
+  return "";
+}
+
+void Backend::OnPacket(TimePoint now,
+                       const Endpoint& from,
+                       std::string_view bytes,
+                       Output& out) {
+  const Result<Header> header = DecodeHeader(bytes);
+  if (!header)
+    return;
+  if (const Result<Run> run = Decode<Run>(bytes, header.value()))
+    this->OnRun(now, from, run.value(), out);
+  if (const Result<CancelRun> cancel = Decode<CancelRun>(bytes, header.value()))
+    this->OnCancel(now, from, cancel.value(), out);
+  if (const Result<NeedRunParts> question = Decode<NeedRunParts>(bytes, header.value()))
+    this->OnNeedParts(from, question.value(), out);
+}
+
+void Backend::Tick(TimePoint now, Output& out) {
+  while (!this->running.empty() && this->running.begin()->first <= now) {
+    const RunId run = this->running.begin()->second;
+    this->running.erase(this->running.begin());
+    Job& job = this->jobs.at(run);
+    job.state = State::kDone;
+    this->Note(BackendEvent::Kind::kFinished, now, run, job, job.order.busy);
+    std::vector<uint32_t> all(job.order.parts);
+    std::iota(all.begin(), all.end(), 0);
+    this->SendAnswer(run, job, all, out);
+    this->StartNext(now, out);
+  }
+  while (!this->memory.empty() && this->memory.begin()->first <= now) {
+    this->jobs.erase(this->memory.begin()->second);
+    this->memory.erase(this->memory.begin());
+  }
+}
+
+TimePoint Backend::NextAt() const {
+  return this->running.empty() ? kNever : this->running.begin()->first;
+}
+
+std::vector<BackendEvent> Backend::TakeEvents() {
+  return std::exchange(this->events, {});
+}
+
+void Backend::OnRun(TimePoint now,
+                    const Endpoint& from,
+                    const Run& run,
+                    Output& out) {
+  const auto known = this->jobs.find(run.run);
+  if (known != this->jobs.end()) {
+    // A copy of a datagram, or one that comes after its withdrawal.
+    if (known->second.state == State::kWithdrawn)
+      this->Refuse(now, run.run, from, ResultCode::kCancelled, out);
+    else
+      Send(from, Accepted{run.run, this->Load()}, out);
+    return;
+  }
+  if (run.incarnation != this->options.incarnation) {
+    Send(from, RunLost{run.run, this->Load()}, out);
+    return;
+  }
+  const TimePoint deadline = FromWire(run.deadline);
+  const std::optional<WorkOrder> order = ParseOrder(View(run.payload));
+  if (deadline <= now || !order) {
+    this->Refuse(now, run.run, from, ResultCode::kDeadlinePassed, out);
+    return;
+  }
+  Job job;
+  job.balancer = from;
+  job.flow = run.flow;
+  job.number = run.number;
+  job.order = *order;
+  job.deadline = deadline;
+  job.forget_at = deadline + kMemory;
+  if (order->service != this->options.service)
+    this->Note(BackendEvent::Kind::kWrongService, now, run.run, job, {});
+  if (this->draining || this->queue.size() >= this->options.queue_limit) {
+    // Remembered as withdrawn, so that a copy of the datagram is not run after it was refused.
+    job.state = State::kWithdrawn;
+    this->memory.emplace(job.forget_at, run.run);
+    this->jobs.emplace(run.run, job);
+    this->Refuse(now, run.run, from, this->draining ? ResultCode::kBackendDraining : ResultCode::kOverloaded, out);
+    return;
+  }
+  this->Note(BackendEvent::Kind::kAccepted, now, run.run, job, {});
+  this->memory.emplace(job.forget_at, run.run);
+  this->jobs.emplace(run.run, job);
+  this->queue.push_back(run.run);
+  this->StartNext(now, out);
+  Send(from, Accepted{run.run, this->Load()}, out);
+}
+
+void Backend::OnCancel(TimePoint now,
+                       const Endpoint& from,
+                       const CancelRun& cancel,
+                       Output& out) {
+  if (cancel.incarnation != this->options.incarnation) {
+    Send(from, RunLost{cancel.run, this->Load()}, out);
+    return;
+  }
+  const auto known = this->jobs.find(cancel.run);
+  if (known == this->jobs.end()) {
+    Job withdrawn;
+    withdrawn.state = State::kWithdrawn;
+    withdrawn.forget_at = FromWire(cancel.deadline) + kMemory;
+    this->memory.emplace(withdrawn.forget_at, cancel.run);
+    this->jobs.emplace(cancel.run, withdrawn);
+    Send(from, CancelReply{cancel.run, false, this->Load()}, out);
+    return;
+  }
+  Job& job = known->second;
+  if (job.state == State::kQueued) {
+    std::erase(this->queue, cancel.run);
+    job.state = State::kWithdrawn;
+    this->Note(BackendEvent::Kind::kCancelled, now, cancel.run, job, {});
+  }
+  const bool started = job.state == State::kRunning || job.state == State::kDone;
+  Send(from, CancelReply{cancel.run, started, this->Load()}, out);
+}
+
+void Backend::OnNeedParts(const Endpoint& from,
+                          const NeedRunParts& question,
+                          Output& out) {
+  const auto known = this->jobs.find(question.run);
+  if (question.incarnation != this->options.incarnation || known == this->jobs.end()) {
+    Send(from, RunLost{question.run, this->Load()}, out);
+    return;
+  }
+  const Job& job = known->second;
+  if (job.state == State::kQueued || job.state == State::kRunning) {
+    Send(from, Accepted{question.run, this->Load()}, out);
+    return;
+  }
+  if (job.state == State::kWithdrawn || job.state == State::kExpired) {
+    Send(from, Refused{question.run, static_cast<uint16_t>(ResultCode::kCancelled), this->Load()}, out);
+    return;
+  }
+  std::vector<uint32_t> wanted = question.missing;
+  if (wanted.empty()) {
+    wanted.resize(job.order.parts);
+    std::iota(wanted.begin(), wanted.end(), 0);
+  }
+  std::erase_if(wanted, [&job](uint32_t part) { return part >= job.order.parts; });
+  this->SendAnswer(question.run, job, wanted, out);
+}
+
+void Backend::StartNext(TimePoint now, Output& out) {
+  while (this->running.size() < this->options.slots && !this->queue.empty()) {
+    const RunId run = this->queue.front();
+    this->queue.pop_front();
+    Job& job = this->jobs.at(run);
+    if (job.deadline <= now) {
+      job.state = State::kExpired;
+      this->Refuse(now, run, job.balancer, ResultCode::kDeadlinePassed, out);
+      continue;
+    }
+    job.state = State::kRunning;
+    job.ends_at = now + job.order.busy;
+    this->running.emplace(job.ends_at, run);
+    this->Note(BackendEvent::Kind::kStarted, now, run, job, {});
+  }
+}
+
+void Backend::SendAnswer(RunId run,
+                         const Job& job,
+                         const std::vector<uint32_t>& parts,
+                         Output& out) const {
+  for (const uint32_t index : parts) {
+    const std::string bytes = MakeAnswerPart(this->options.service, job.order.tag, index, job.order.parts);
+    Send(job.balancer, RunPart{run, index, job.order.parts, this->Load(), MakeBlob(bytes)}, out);
+  }
+}
+
+void Backend::Refuse(TimePoint now,
+                     RunId run,
+                     const Endpoint& to,
+                     ResultCode code,
+                     Output& out) {
+  BackendEvent event;
+  event.kind = BackendEvent::Kind::kRefused;
+  event.at = now;
+  event.run = run;
+  this->events.push_back(event);
+  Send(to, Refused{run, static_cast<uint16_t>(code), this->Load()}, out);
+}
+
+void Backend::Note(BackendEvent::Kind kind,
+                   TimePoint now,
+                   RunId run,
+                   const Job& job,
+                   Microseconds busy) {
+  this->events.push_back({kind, now, run, job.flow, job.number, job.order.tag, busy});
+}
+
+LoadReport Backend::Load() const {
+  return {this->options.slots, static_cast<uint32_t>(this->running.size()),
+          static_cast<uint32_t>(this->queue.size()), this->draining,
+          this->options.incarnation};
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/standin/backend_base.h
@@ -0,0 +1,108 @@
+/** @file backend_base.h A stand-in backend server: slots, a queue, drain, shedding, cancellation, deadlines. */
+
+#ifndef CUMINVANE_STANDIN_BACKEND_BASE_H_
+#define CUMINVANE_STANDIN_BACKEND_BASE_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/message_func.h"
+#include "core/output_type.h"
+#include "core/time_type.h"
+#include "standin/work_func.h"
+
+namespace cuminvane {
+
+/** How a stand-in backend server behaves. */
+struct BackendOptions {
+  VmId vm;
+  Incarnation incarnation;
+  std::string service;
+  uint32_t slots = 3;
+  uint32_t queue_limit = 12;
+
+  bool operator==(const BackendOptions&) const = default;
+};
+
+/** One line of its own record of what it did. */
+struct BackendEvent {
+  enum class Kind : uint8_t { kAccepted, kStarted, kFinished, kRefused, kCancelled, kWrongService };
+
+  Kind kind = Kind::kAccepted;
+  TimePoint at;
+  RunId run;
+  FlowId flow;
+  RequestNumber number;
+  std::string tag;
+  Microseconds busy{0};
+
+  bool operator==(const BackendEvent&) const = default;
+};
+
+/** @return The event's word in record files. */
+const char* ToString(BackendEvent::Kind kind);
+
+/**
+ * A backend server that does what orders ask.
+ *
+ * It runs a run identifier at most once, remembers a withdrawal until the run's deadline, and starts nothing after
+ * the deadline: that is what the protocol asks of backend servers, and no more.
+ */
+class Backend {
+ public:
+  explicit Backend(const BackendOptions& options) : options(options) {}
+
+  /** Handles a datagram from a balancer; answers go to `from` by the backend lane. */
+  void OnPacket(TimePoint now, const Endpoint& from, std::string_view bytes, Output& out);
+
+  /** Finishes and starts work that is due. */
+  void Tick(TimePoint now, Output& out);
+
+  /** Takes no new work from now on, or again. */
+  void SetDraining(bool draining) { this->draining = draining; }
+
+  /** @return When Tick has something to do. */
+  TimePoint NextAt() const;
+
+  /** @return The events since the last call. */
+  std::vector<BackendEvent> TakeEvents();
+
+ private:
+  enum class State : uint8_t { kQueued, kRunning, kDone, kWithdrawn, kExpired };
+
+  /** A run that was heard of. */
+  struct Job {
+    State state = State::kQueued;
+    Endpoint balancer;
+    FlowId flow;
+    RequestNumber number;
+    WorkOrder order;
+    TimePoint deadline;
+    TimePoint ends_at;
+    TimePoint forget_at;
+  };
+
+  void OnRun(TimePoint now, const Endpoint& from, const Run& run, Output& out);
+  void OnCancel(TimePoint now, const Endpoint& from, const CancelRun& cancel, Output& out);
+  void OnNeedParts(const Endpoint& from, const NeedRunParts& question, Output& out);
+  void StartNext(TimePoint now, Output& out);
+  void SendAnswer(RunId run, const Job& job, const std::vector<uint32_t>& parts, Output& out) const;
+  void Refuse(TimePoint now, RunId run, const Endpoint& to, ResultCode code, Output& out);
+  void Note(BackendEvent::Kind kind, TimePoint now, RunId run, const Job& job, Microseconds busy);
+  LoadReport Load() const;
+
+  BackendOptions options;
+  std::map<RunId, Job> jobs;
+  std::deque<RunId> queue;
+  std::multimap<TimePoint, RunId> running;  ///< By the end of the work.
+  std::multimap<TimePoint, RunId> memory;   ///< By when a job is forgotten.
+  std::vector<BackendEvent> events;
+  bool draining = false;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_STANDIN_BACKEND_BASE_H_
--- /dev/null
+++ b/src/standin/fabric_role.cc
@@ -0,0 +1,207 @@
+/** @file fabric_role.cc The stand-in fabric: hands any packet to any balancer, and loses, copies and delays some. */
+
+#include <asio.hpp>
+#include <atomic>
+#include <csignal>
+#include <deque>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "core/message_func.h"
+#include "core/random_type.h"
+#include "core/vmlist_func.h"
+#include "shell/platform_base.h"
+#include "shell/program_func.h"
+#include "shell/socket_base.h"
+#include "standin/role_func.h"
+
+namespace cuminvane {
+namespace {
+
+constexpr Milliseconds kWatch{2000};
+constexpr Milliseconds kRetry{100};
+
+/** How packets fare. */
+struct FabricFaults {
+  double loss = 0;
+  double duplicate = 0;
+  double reorder = 0;
+  Milliseconds delay{0};  ///< Of a reordered packet, at most.
+};
+
+/** The fabric's sockets and the spray. */
+class Fabric : public std::enable_shared_from_this<Fabric> {
+ public:
+  Fabric(asio::io_context& context, const FabricFaults& faults, uint64_t seed)
+      : context(context), uplink(context), faults(faults), random(seed) {}
+
+  Result<void> Open(const std::vector<Endpoint>& services, const Endpoint& uplink_address) {
+    BOOST_OUTCOME_TRY(opened, OpenUdp(this->context, uplink_address));
+    this->uplink = std::move(opened);
+    for (const Endpoint& service : services) {
+      BOOST_OUTCOME_TRY(socket, OpenUdp(this->context, service));
+      this->services.push_back({service, std::move(socket)});
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void Start() {
+    this->WaitUplink();
+    for (ServiceSocket& service : this->services)
+      this->WaitService(service);
+  }
+
+  /** Takes the balancers to spray over; from another thread. */
+  void SetBalancers(std::vector<Endpoint> addresses) {
+    const std::lock_guard hold(this->mutex);
+    this->balancers = std::move(addresses);
+  }
+
+  void Stop() {
+    asio::error_code ignored;
+    this->uplink.close(ignored);
+    for (ServiceSocket& service : this->services)
+      service.socket.close(ignored);
+  }
+
+ private:
+  struct ServiceSocket {
+    Endpoint address;
+    UdpSocket socket;
+  };
+
+  void WaitUplink() {
+    this->uplink.async_wait(UdpSocket::wait_read, [self = this->shared_from_this()](const asio::error_code& failure) {
+      if (failure)
+        return;
+      Endpoint from;
+      while (const auto bytes = Receive(self->uplink, self->buffer, from))
+        self->FromBalancer(*bytes);
+      self->WaitUplink();
+    });
+  }
+
+  void WaitService(ServiceSocket& service) {
+    service.socket.async_wait(UdpSocket::wait_read,
+                              [self = this->shared_from_this(), &service](const asio::error_code& failure) {
+                                if (failure)
+                                  return;
+                                Endpoint from;
+                                while (const auto bytes = Receive(service.socket, self->buffer, from))
+                                  self->FromCaller(from, service.address, *bytes);
+                                self->WaitService(service);
+                              });
+  }
+
+  void FromCaller(const Endpoint& caller, const Endpoint& service, std::string_view bytes) {
+    const std::string wrapped = Encode(FabricPacket{caller, service, MakeBlob(bytes)});
+    this->WithFaults([this, wrapped] {
+      const std::lock_guard hold(this->mutex);
+      if (!this->balancers.empty())
+        SendTo(this->uplink, this->balancers[DrawIndex(this->random, this->balancers.size())], wrapped);
+    });
+  }
+
+  void FromBalancer(std::string_view bytes) {
+    const Result<Header> header = DecodeHeader(bytes);
+    if (!header)
+      return;
+    const Result<FabricPacket> packet = Decode<FabricPacket>(bytes, header.value());
+    if (!packet)
+      return;
+    const Endpoint caller = packet.value().caller;
+    const Endpoint service = packet.value().service;
+    this->WithFaults([this, caller, service, payload = std::string(View(packet.value().packet))] {
+      for (ServiceSocket& candidate : this->services) {
+        if (candidate.address == service)
+          SendTo(candidate.socket, caller, payload);
+      }
+    });
+  }
+
+  /** Sends a packet never, once or twice, now or later. */
+  template <class Send>
+  void WithFaults(Send send) {
+    const int copies = this->Happens(this->faults.loss) ? 0 : this->Happens(this->faults.duplicate) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (!this->Happens(this->faults.reorder)) {
+        send();
+        continue;
+      }
+      auto timer = std::make_shared<asio::steady_timer>(this->context);
+      const auto most = static_cast<size_t>(this->faults.delay.count());
+      timer->expires_after(Milliseconds(1 + DrawIndex(this->random, most + 1)));
+      timer->async_wait([timer, send, self = this->shared_from_this()](const asio::error_code&) mutable { send(); });
+    }
+  }
+
+  bool Happens(double share) { return std::uniform_real_distribution<double>()(this->random) < share; }
+
+  asio::io_context& context;
+  UdpSocket uplink;
+  std::deque<ServiceSocket> services;
+  FabricFaults faults;
+  RandomEngine random;
+  ReceiveBuffer buffer{};
+  std::mutex mutex;
+  std::vector<Endpoint> balancers;
+};
+
+/** Follows the platform's list; a balancer that is leaving gets no more packets. */
+void FollowList(const Endpoint& platform, Fabric& fabric, const std::atomic<bool>& closing) {
+  uint64_t version = 0;
+  while (!closing) {
+    const Result<PlatformAnswer> answer = WatchPlatform(platform, "vms", version, kWatch, closing);
+    if (!answer) {
+      std::this_thread::sleep_for(kRetry);
+      continue;
+    }
+    if (!answer.value().changed)
+      continue;
+    const VmListCheck check = CheckVmList("vms", answer.value().text);
+    version = check.list.version.value;
+    std::vector<Endpoint> balancers;
+    for (const Vm& vm : check.list.vms) {
+      if (vm.role == VmRole::kBalancer && !vm.leaving)
+        balancers.push_back(vm.address);
+    }
+    fabric.SetBalancers(std::move(balancers));
+  }
+}
+
+}  // namespace
+
+ResultCode RunFabric(const cxxopts::ParseResult& options) {
+  std::vector<Endpoint> services;
+  for (const std::string& text : options["service"].as<std::vector<std::string>>()) {
+    const std::optional<Endpoint> service = ParseEndpoint(text);
+    if (!service)
+      return Complain({ResultCode::kUsage, "--service is no A.B.C.D:PORT"});
+    services.push_back(*service);
+  }
+  const std::optional<Endpoint> uplink = ParseEndpoint(options["listen"].as<std::string>());
+  const std::optional<Endpoint> platform = ParseEndpoint(options["platform"].as<std::string>());
+  if (!uplink || !platform)
+    return Complain({ResultCode::kUsage, "--listen or --platform is no A.B.C.D:PORT"});
+  const FabricFaults faults{options["loss"].as<double>(), options["duplicate"].as<double>(),
+                            options["reorder"].as<double>(), Milliseconds(options["delay-ms"].as<int>())};
+  asio::io_context context;
+  const auto fabric = std::make_shared<Fabric>(context, faults, options["seed"].as<uint64_t>());
+  const Result<void> opened = fabric->Open(services, *uplink);
+  if (!opened)
+    return Complain(opened.error());
+  fabric->Start();
+  std::atomic<bool> closing = false;
+  std::thread follower([&] { FollowList(*platform, *fabric, closing); });
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&fabric](const asio::error_code&, int) { fabric->Stop(); });
+  context.run();
+  closing = true;
+  follower.join();
+  return ResultCode::kOk;
+}
+
+}  // namespace cuminvane
--- /dev/null
+++ b/src/table/settings_table.h
@@ -0,0 +1,64 @@
+/** @file settings_table.h The sections and keys of a balancer's settings file. */
+
+#ifndef CUMINVANE_TABLE_SETTINGS_TABLE_H_
+#define CUMINVANE_TABLE_SETTINGS_TABLE_H_
+
+#include <array>
+
+#include "table/config_table.h"
+
+namespace cuminvane {
+
+inline constexpr std::array kSettingsSections = {
+    SectionRow{"vm", false, true, "The VM this balancer runs on."},
+    SectionRow{"listen", false, true, "Addresses it listens on."},
+    SectionRow{"platform", false, true, "The platform's configuration service."},
+    SectionRow{"log", false, false, "Least severity logged, by topic."},
+    SectionRow{"requests", false, false, "Limits on requests."},
+    SectionRow{"membership", false, false, "Heartbeats between balancers."},
+    SectionRow{"stop", false, false, "Graceful shutdown."},
+};
+
+/** Severities, least first. */
+inline constexpr const char* kSeverityWords = "debug|info|warning|error|off";
+
+inline constexpr std::array kSettingsKeys = {
+    KeyRow{"vm", "id", ValueKind::kInteger, nullptr, 1, 4294967295.0, "", "Number of this VM in the platform's list."},
+    KeyRow{"vm", "incarnation", ValueKind::kInteger, "0", 0, kHighestVersion, "", "Number of this start; 0 takes the start time in microseconds."},
+    KeyRow{"vm", "data_centre", ValueKind::kWord, nullptr, 0, 0, "", "Data centre of this VM."},
+    KeyRow{"vm", "threads", ValueKind::kInteger, "2", 1, 64, "", "Threads that handle packets."},
+    KeyRow{"vm", "shards", ValueKind::kInteger, "16", 1, 256, "", "Parts of the flow state, each under its own lock."},
+    KeyRow{"listen", "fabric", ValueKind::kEndpoint, nullptr, 0, 0, "", "For packets from the fabric, UDP."},
+    KeyRow{"listen", "backend", ValueKind::kEndpoint, nullptr, 0, 0, "", "For answers of backend servers, UDP."},
+    KeyRow{"listen", "peer", ValueKind::kEndpoint, nullptr, 0, 0, "", "For other balancers, UDP."},
+    KeyRow{"listen", "control_port", ValueKind::kInteger, nullptr, 1, 65535, "", "For operators, JSON-RPC over HTTP; listens on all addresses of the VM."},
+    KeyRow{"listen", "control_threads", ValueKind::kInteger, "2", 1, 16, "", "Threads that answer operators."},
+    KeyRow{"platform", "address", ValueKind::kEndpoint, nullptr, 0, 0, "", "HTTP address of the configuration service."},
+    KeyRow{"platform", "watch_ms", ValueKind::kInteger, "10000", 100, 600000, "", "Longest wait of one watch, in milliseconds."},
+    KeyRow{"platform", "retry_ms", ValueKind::kInteger, "500", 10, 600000, "", "Pause after a failed read, in milliseconds, doubled up to the watch time."},
+    KeyRow{"log", "routing", ValueKind::kChoice, "info", 0, 0, kSeverityWords, "Routing decisions."},
+    KeyRow{"log", "placement", ValueKind::kChoice, "info", 0, 0, kSeverityWords, "Placement decisions."},
+    KeyRow{"log", "membership", ValueKind::kChoice, "info", 0, 0, kSeverityWords, "Members that come and go."},
+    KeyRow{"log", "config", ValueKind::kChoice, "info", 0, 0, kSeverityWords, "Documents taken and refused."},
+    KeyRow{"log", "input", ValueKind::kChoice, "warning", 0, 0, kSeverityWords, "Bad input, at a limited rate."},
+    KeyRow{"log", "process", ValueKind::kChoice, "info", 0, 0, kSeverityWords, "Start and stop."},
+    KeyRow{"log", "input_lines_per_s", ValueKind::kInteger, "10", 0, 10000, "", "Most lines of bad input logged in a second."},
+    KeyRow{"requests", "deadline_limit_ms", ValueKind::kInteger, "60000", 100, 3600000, "", "Furthest deadline accepted, in milliseconds ahead."},
+    KeyRow{"requests", "records_per_flow", ValueKind::kInteger, "64", 1, 4096, "", "Most requests remembered for one flow."},
+    KeyRow{"requests", "records_per_shard", ValueKind::kInteger, "65536", 16, 16777216, "", "Most requests remembered in one shard."},
+    KeyRow{"requests", "answer_limit_bytes", ValueKind::kInteger, "1048576", 1024, 67108864, "", "Largest answer kept for one request, in bytes."},
+    KeyRow{"requests", "accept_timeout_ms", ValueKind::kInteger, "100", 5, 60000, "", "Wait for a backend server's acceptance, in milliseconds."},
+    KeyRow{"requests", "retry_percent", ValueKind::kInteger, "10", 0, 100, "", "Retries allowed, in percent of requests."},
+    KeyRow{"membership", "peers", ValueKind::kEndpointList, "", 0, 0, "", "Other balancers asked at the start, besides those in the platform's list."},
+    KeyRow{"membership", "probe_ms", ValueKind::kInteger, "200", 10, 60000, "", "Time between two probes, in milliseconds."},
+    KeyRow{"membership", "probe_timeout_ms", ValueKind::kInteger, "60", 5, 60000, "", "Wait for a direct answer before others are asked to probe, in milliseconds."},
+    KeyRow{"membership", "suspicion_ms", ValueKind::kInteger, "800", 10, 600000, "", "Time a suspect has to refute, in milliseconds."},
+    KeyRow{"stop", "grace_ms", ValueKind::kInteger, "30000", 0, 3600000, "", "Longest wait for requests in progress, in milliseconds."},
+    KeyRow{"stop", "linger_ms", ValueKind::kInteger, "2000", 0, 600000, "", "Least time packets of moved flows are still answered, in milliseconds."},
+};
+
+inline constexpr Schema kSettingsSchema{kSettingsSections, kSettingsKeys};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_TABLE_SETTINGS_TABLE_H_
