Status: histogram bins are read by index

Cause: cuminvanectl status timed out under load; the stack showed the loop over boost::histogram::indexed with coverage::all never ending in this version. Change: bins are read by index, below and above the axis included.

--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -46,30 +46,38 @@
   return json;
 }
 
+/** Calls `use` with each bin's index and count; -1 is below the axis, its size is above it. */
+template <class Use>
+void ForEachBin(const LatencyHistogram& histogram, Use use) {
+  const int bins = histogram.axis().size();
+  for (int bin = -1; bin <= bins; ++bin)
+    use(bin, static_cast<double>(histogram.at(bin)));
+}
+
 /** Upper edge of the bin that the share of the counts lies below. */
 double Quantile(const LatencyHistogram& histogram, double share) {
   double total = 0;
-  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all))
-    total += static_cast<double>(*bin);
+  ForEachBin(histogram, [&total](int, double count) { total += count; });
   double seen = 0;
-  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
-    seen += static_cast<double>(*bin);
+  int found = histogram.axis().size();
+  ForEachBin(histogram, [&](int bin, double count) {
+    seen += count;
     if (seen >= share * total)
-      return bin.bin().upper();
-  }
-  return 0;
+      found = std::min(found, bin);
+  });
+  return total == 0 ? 0 : histogram.axis().value(found + 1);
 }
 
 Json::Value HistogramToJson(const LatencyHistogram& histogram) {
   Json::Value bins(Json::arrayValue);
-  for (const auto& bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
-    if (*bin == 0)
-      continue;
+  ForEachBin(histogram, [&bins](int bin, double count) {
+    if (count == 0)
+      return;
     Json::Value entry;
-    entry["bin"] = bin.index();
-    entry["count"] = static_cast<Json::UInt64>(*bin);
+    entry["bin"] = bin;
+    entry["count"] = static_cast<Json::UInt64>(count);
     bins.append(entry);
-  }
+  });
   return bins;
 }
 
