--- a/src/bin/cuminvane_call.cc
+++ b/src/bin/cuminvane_call.cc
@@ -1,4 +1,5 @@
-/** @file cuminvane_call.cc A caller: sends one request and prints the answer, or many as a load generator. */
+/** @file cuminvane_call.cc A caller: sends one request and prints the answer,
+ * or many as a load generator. */
 
 #include <iostream>
 
@@ -14,7 +15,8 @@
   load.duration = Seconds(options["seconds"].as<int>());
   load.record_path = options["record"].as<std::string>();
   load.mixes = {};
-  for (const std::string& text : options["mix"].as<std::vector<std::string>>()) {
+  for (const std::string& text :
+       options["mix"].as<std::vector<std::string>>()) {
     if (text.empty())
       continue;
     const Result<LoadMix> mix = ParseMix(text);
@@ -24,10 +26,14 @@
   }
   if (!load.mixes.empty())
     return RunLoad(load);
-  const std::optional<Endpoint> service = ParseEndpoint(options["service"].as<std::string>());
+  const std::optional<Endpoint> service =
+      ParseEndpoint(options["service"].as<std::string>());
   if (!service || options["class"].as<std::string>().empty())
-    return Complain({ResultCode::kUsage, "--service and --class, or --mix, are needed; see --help"});
-  return CallOnce({*service, options["class"].as<std::string>(), options["text"].as<std::string>(),
+    return Complain(
+        {ResultCode::kUsage,
+         "--service and --class, or --mix, are needed; see --help"});
+  return CallOnce({*service, options["class"].as<std::string>(),
+                   options["text"].as<std::string>(),
                    Milliseconds(options["deadline-ms"].as<int>())});
 }
 
@@ -37,16 +43,24 @@
 int main(int argc, char** argv) {
   using cxxopts::value;
   cxxopts::Options options("cuminvane-call", "A caller and load generator");
-  options.add_options()("service", "Address of the service", value<std::string>()->default_value(""), "A.B.C.D:PORT")(
+  options.add_options()("service", "Address of the service",
+                        value<std::string>()->default_value(""),
+                        "A.B.C.D:PORT")(
       "class", "Class of the request", value<std::string>()->default_value(""))(
-      "text", "Payload of the request", value<std::string>()->default_value(""))(
-      "deadline-ms", "Longest wait for the answer, in milliseconds", value<int>()->default_value("5000"))(
+      "text", "Payload of the request",
+      value<std::string>()->default_value(""))(
+      "deadline-ms", "Longest wait for the answer, in milliseconds",
+      value<int>()->default_value("5000"))(
       "mix",
-      "Load: service=NAME;address=A.B.C.D:PORT;class=NAME;idempotent=yes|no;flows=N;requests=N;parts=N;busy_ms=N;"
+      "Load: "
+      "service=NAME;address=A.B.C.D:PORT;class=NAME;idempotent=yes|no;flows=N;"
+      "requests=N;parts=N;busy_ms=N;"
       "deadline_ms=N (may be given several times)",
       value<std::vector<std::string>>()->default_value(""))(
-      "seconds", "Load: time over which flows and requests are spread", value<int>()->default_value("10"))(
-      "seed", "Load: seed of its choices", value<uint64_t>()->default_value("1"))(
-      "record", "Load: file for its record", value<std::string>()->default_value("/dev/null"), "FILE");
+      "seconds", "Load: time over which flows and requests are spread",
+      value<int>()->default_value("10"))("seed", "Load: seed of its choices",
+                                         value<uint64_t>()->default_value("1"))(
+      "record", "Load: file for its record",
+      value<std::string>()->default_value("/dev/null"), "FILE");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunCall);
 }
--- a/src/bin/cuminvane_standin.cc
+++ b/src/bin/cuminvane_standin.cc
@@ -1,4 +1,5 @@
-/** @file cuminvane_standin.cc Stand-ins for the platform, the fabric and backend servers; for tests and the demo only. */
+/** @file cuminvane_standin.cc Stand-ins for the platform, the fabric and
+ * backend servers; for tests and the demo only. */
 
 #include <curl/curl.h>
 
@@ -18,7 +19,9 @@
     return RunBackend(options);
   if (role == "figures")
     return RunFigures(options);
-  return Complain({ResultCode::kUsage, "--role takes platform, fabric, backend or figures; see --help"});
+  return Complain(
+      {ResultCode::kUsage,
+       "--role takes platform, fabric, backend or figures; see --help"});
 }
 
 }  // namespace
@@ -27,23 +30,39 @@
 int main(int argc, char** argv) {
   using cxxopts::value;
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  cxxopts::Options options("cuminvane-standin", "Stand-ins for tests and the demo");
-  options.add_options()("role", "platform, fabric, backend or figures", value<std::string>()->default_value(""))(
-      "listen", "Address to listen on", value<std::string>()->default_value("127.0.0.1:0"), "A.B.C.D:PORT")(
-      "platform", "Fabric: address of the platform", value<std::string>()->default_value(""), "A.B.C.D:PORT")(
-      "service", "Fabric: address that callers use", value<std::vector<std::string>>()->default_value(""), "A.B.C.D:PORT")(
-      "loss", "Fabric: share of packets lost", value<double>()->default_value("0"))(
-      "duplicate", "Fabric: share of packets sent twice", value<double>()->default_value("0"))(
-      "reorder", "Fabric: share of packets delayed", value<double>()->default_value("0"))(
-      "delay-ms", "Fabric: longest such delay, in milliseconds", value<int>()->default_value("20"))(
-      "seed", "Fabric: seed of its choices", value<uint64_t>()->default_value("1"))(
-      "dir", "Platform and figures: directory of the files", value<std::string>()->default_value("."))(
+  cxxopts::Options options("cuminvane-standin",
+                           "Stand-ins for tests and the demo");
+  options.add_options()("role", "platform, fabric, backend or figures",
+                        value<std::string>()->default_value(""))(
+      "listen", "Address to listen on",
+      value<std::string>()->default_value("127.0.0.1:0"),
+      "A.B.C.D:PORT")("platform", "Fabric: address of the platform",
+                      value<std::string>()->default_value(""), "A.B.C.D:PORT")(
+      "service", "Fabric: address that callers use",
+      value<std::vector<std::string>>()->default_value(""),
+      "A.B.C.D:PORT")("loss", "Fabric: share of packets lost",
+                      value<double>()->default_value("0"))(
+      "duplicate", "Fabric: share of packets sent twice",
+      value<double>()->default_value("0"))("reorder",
+                                           "Fabric: share of packets delayed",
+                                           value<double>()->default_value("0"))(
+      "delay-ms", "Fabric: longest such delay, in milliseconds",
+      value<int>()->default_value("20"))("seed", "Fabric: seed of its choices",
+                                         value<uint64_t>()->default_value("1"))(
+      "dir", "Platform and figures: directory of the files",
+      value<std::string>()->default_value("."))(
       "vm", "Backend: its VM", value<uint32_t>()->default_value("1"))(
-      "incarnation", "Backend: number of this start", value<uint64_t>()->default_value("1"))(
-      "serves", "Backend: its service", value<std::string>()->default_value(""))(
-      "slots", "Backend: requests run at once", value<uint32_t>()->default_value("3"))(
-      "queue", "Backend: requests that may wait", value<uint32_t>()->default_value("12"))(
-      "record", "Backend: file for its record", value<std::string>()->default_value("/dev/null"), "FILE")(
-      "config", "Figures: configuration in force", value<std::string>()->default_value(""), "FILE");
+      "incarnation", "Backend: number of this start",
+      value<uint64_t>()->default_value("1"))(
+      "serves", "Backend: its service",
+      value<std::string>()->default_value(""))(
+      "slots", "Backend: requests run at once",
+      value<uint32_t>()->default_value("3"))(
+      "queue", "Backend: requests that may wait",
+      value<uint32_t>()->default_value("12"))(
+      "record", "Backend: file for its record",
+      value<std::string>()->default_value("/dev/null"),
+      "FILE")("config", "Figures: configuration in force",
+              value<std::string>()->default_value(""), "FILE");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunRole);
 }
--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -68,7 +68,8 @@
   for (const std::string& address : addresses) {
     BalancerStatus one;
     one.address = address;
-    const ControlReply reply = CallControl(address, "status", "{}", kCallTimeoutMs);
+    const ControlReply reply =
+        CallControl(address, "status", "{}", kCallTimeoutMs);
     one.answered = reply.ok && ParseJson(reply.text, one.status);
     one.failure = reply.ok ? "" : reply.text;
     all.push_back(one);
@@ -78,19 +79,26 @@
 
 void PrintStatus(const BalancerStatus& one) {
   if (!one.answered) {
-    std::cout << std::left << std::setw(22) << one.address << " no answer: " << one.failure << "\n";
+    std::cout << std::left << std::setw(22) << one.address
+              << " no answer: " << one.failure << "\n";
     return;
   }
   const Json::Value& status = one.status;
   size_t alive = 0;
   for (const Json::Value& member : status["members"])
     alive += member["state"].asString() == "member_alive" ? 1 : 0;
-  std::cout << std::left << std::setw(22) << one.address << " vm=" << status["vm"].asUInt()
-            << " data_centre=" << status["data_centre"].asString()
-            << " state=" << (status["stopping"].asBool() ? "stopping" : status["serving"].asBool() ? "serving" : "starting")
-            << " config=" << status["config_version"].asUInt64() << " vms=" << status["vm_list_version"].asUInt64()
-            << " key=" << status["issue_key"].asUInt() << " peers_alive=" << alive
-            << " flows=" << status["flows"].asUInt64() << " unfinished=" << status["unfinished"].asUInt64() << "\n";
+  std::cout << std::left << std::setw(22) << one.address
+            << " vm=" << status["vm"].asUInt()
+            << " data_centre=" << status["data_centre"].asString() << " state="
+            << (status["stopping"].asBool()  ? "stopping"
+                : status["serving"].asBool() ? "serving"
+                                             : "starting")
+            << " config=" << status["config_version"].asUInt64()
+            << " vms=" << status["vm_list_version"].asUInt64()
+            << " key=" << status["issue_key"].asUInt()
+            << " peers_alive=" << alive
+            << " flows=" << status["flows"].asUInt64()
+            << " unfinished=" << status["unfinished"].asUInt64() << "\n";
 }
 
 ResultCode Status(const std::vector<std::string>& addresses, bool json) {
@@ -115,7 +123,9 @@
   return complete ? ResultCode::kOk : ResultCode::kBalancerUnreachable;
 }
 
-ResultCode SetLevel(const std::vector<std::string>& addresses, const std::string& topic, const std::string& severity) {
+ResultCode SetLevel(const std::vector<std::string>& addresses,
+                    const std::string& topic,
+                    const std::string& severity) {
   if (addresses.empty())
     return Complain({ResultCode::kUsage, "--balancers is needed; see --help"});
   Json::Value params;
@@ -123,7 +133,8 @@
   params["severity"] = severity;
   ResultCode worst = ResultCode::kOk;
   for (const std::string& address : addresses) {
-    const ControlReply reply = CallControl(address, "set_log_level", WriteJson(params), kCallTimeoutMs);
+    const ControlReply reply = CallControl(address, "set_log_level",
+                                           WriteJson(params), kCallTimeoutMs);
     std::cout << address << " " << (reply.ok ? "ok" : reply.text) << "\n";
     if (!reply.ok)
       worst = ResultCode::kBalancerUnreachable;
@@ -131,7 +142,8 @@
   return worst;
 }
 
-/** Prints the reference of documents and result codes, as the pages under docs/ hold it. */
+/** Prints the reference of documents and result codes, as the pages under docs/
+ * hold it. */
 ResultCode Reference(const std::string& sort) {
   if (sort == "settings") {
     std::cout << FormatSchema(kSettingsSchema);
@@ -140,21 +152,26 @@
   } else if (sort == "vms") {
     std::cout << FormatSchema(kVmListSchema);
   } else if (sort == "codes") {
-    constexpr std::array<const char*, 4> kOutcomes = {"-", "answered", "not run", "unknown"};
-    std::cout << "| code | name | outcome | meaning | what to do |\n| --- | --- | --- | --- | --- |\n";
+    constexpr std::array<const char*, 4> kOutcomes = {"-", "answered",
+                                                      "not run", "unknown"};
+    std::cout << "| code | name | outcome | meaning | what to do |\n| --- | "
+                 "--- | --- | --- | --- |\n";
     for (const ResultCodeRow& row : kResultCodes) {
-      std::cout << "| " << static_cast<int>(row.code) << " | `" << row.name << "` | "
-                << kOutcomes.at(static_cast<size_t>(row.outcome)) << " | " << row.meaning << " | " << row.action << " |\n";
+      std::cout << "| " << static_cast<int>(row.code) << " | `" << row.name
+                << "` | " << kOutcomes.at(static_cast<size_t>(row.outcome))
+                << " | " << row.meaning << " | " << row.action << " |\n";
     }
   } else {
-    return Complain({ResultCode::kUsage, "reference takes settings, config, vms or codes"});
+    return Complain(
+        {ResultCode::kUsage, "reference takes settings, config, vms or codes"});
   }
   return ResultCode::kOk;
 }
 
 ResultCode RunCommand(const cxxopts::ParseResult& options) {
   const auto words = options["command"].as<std::vector<std::string>>();
-  const std::vector<std::string> balancers = SplitList(options["balancers"].as<std::string>());
+  const std::vector<std::string> balancers =
+      SplitList(options["balancers"].as<std::string>());
   const std::string& verb = words.front();
   if (verb == "check" && words.size() == 2)
     return Check(words[1], options["as"].as<std::string>());
@@ -164,7 +181,8 @@
     return SetLevel(balancers, words[1], words[2]);
   if (verb == "reference" && words.size() == 2)
     return Reference(words[1]);
-  return Complain({ResultCode::kUsage, "unknown command or wrong number of words; see --help"});
+  return Complain({ResultCode::kUsage,
+                   "unknown command or wrong number of words; see --help"});
 }
 
 }  // namespace
@@ -172,16 +190,21 @@
 
 int main(int argc, char** argv) {
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  cxxopts::Options options("cuminvanectl",
-                           "The operators' tool\n\n"
-                           "  cuminvanectl check FILE [--as config|settings|vms]\n"
-                           "  cuminvanectl status --balancers A.B.C.D:PORT,... [--json]\n"
-                           "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
-                           "  cuminvanectl reference config|settings|vms|codes\n");
-  options.add_options()("command", "What to do", cxxopts::value<std::vector<std::string>>()->default_value("status"))(
-      "as", "Sort of file to check", cxxopts::value<std::string>()->default_value("config"), "SORT")(
-      "balancers", "Control addresses, parted by commas", cxxopts::value<std::string>()->default_value(""), "LIST")(
-      "json", "Print JSON");
+  cxxopts::Options options(
+      "cuminvanectl",
+      "The operators' tool\n\n"
+      "  cuminvanectl check FILE [--as config|settings|vms]\n"
+      "  cuminvanectl status --balancers A.B.C.D:PORT,... [--json]\n"
+      "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
+      "  cuminvanectl reference config|settings|vms|codes\n");
+  options.add_options()(
+      "command", "What to do",
+      cxxopts::value<std::vector<std::string>>()->default_value("status"))(
+      "as", "Sort of file to check",
+      cxxopts::value<std::string>()->default_value("config"),
+      "SORT")("balancers", "Control addresses, parted by commas",
+              cxxopts::value<std::string>()->default_value(""),
+              "LIST")("json", "Print JSON");
   options.parse_positional({"command"});
   options.positional_help("COMMAND");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunCommand);
--- a/src/bin/cuminvaned.cc
+++ b/src/bin/cuminvaned.cc
@@ -16,8 +16,10 @@
 
 ResultCode Serve(Settings settings) {
   if (settings.incarnation == Incarnation{})
-    settings.incarnation = Incarnation{static_cast<uint64_t>(ToWire(ReadClock()))};
-  StartLog("cuminvaned." + ToString(settings.id), settings.log_levels, settings.input_lines_per_s);
+    settings.incarnation =
+        Incarnation{static_cast<uint64_t>(ToWire(ReadClock()))};
+  StartLog("cuminvaned." + ToString(settings.id), settings.log_levels,
+           settings.input_lines_per_s);
   curl_global_init(CURL_GLOBAL_DEFAULT);
   const auto daemon = std::make_shared<Daemon>(std::move(settings));
   const Result<void> ended = daemon->Run();
@@ -47,8 +49,10 @@
 }  // namespace cuminvane
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("cuminvaned", "The balancer: one process on each entry VM");
-  options.add_options()("config", "Settings file (INI)", cxxopts::value<std::string>(), "FILE")(
-      "check", "Check the settings file and end");
+  cxxopts::Options options("cuminvaned",
+                           "The balancer: one process on each entry VM");
+  options.add_options()("config", "Settings file (INI)",
+                        cxxopts::value<std::string>(),
+                        "FILE")("check", "Check the settings file and end");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunDaemon);
 }
--- a/src/control/control_func.cc
+++ b/src/control/control_func.cc
@@ -1,4 +1,5 @@
-/** @file control_func.cc JSON-RPC through libjsonrpccpp; built as C++14, which its headers need. */
+/** @file control_func.cc JSON-RPC through libjsonrpccpp; built as C++14, which
+ * its headers need. */
 
 #include "control/control_func.h"
 
@@ -25,10 +26,14 @@
 /** Hands every call to one handler. */
 class Server : public ControlServer, private jsonrpc::AbstractServer<Server> {
  public:
-  Server(jsonrpc::HttpServer& connector, const std::vector<std::string>& methods, ControlHandler handler)
-      : jsonrpc::AbstractServer<Server>(connector), handler(std::move(handler)) {
+  Server(jsonrpc::HttpServer& connector,
+         const std::vector<std::string>& methods,
+         ControlHandler handler)
+      : jsonrpc::AbstractServer<Server>(connector),
+        handler(std::move(handler)) {
     for (const std::string& method : methods) {
-      const jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr);
+      const jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME,
+                                         jsonrpc::JSON_OBJECT, nullptr);
       this->bindAndAddMethod(procedure, &Server::Unused);
     }
   }
@@ -37,10 +42,14 @@
   void Stop() { this->StopListening(); }
 
  private:
-  void HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input, Json::Value& output) override {
-    const ControlReply reply = this->handler(procedure.GetProcedureName(), Write(input));
+  void HandleMethodCall(jsonrpc::Procedure& procedure,
+                        const Json::Value& input,
+                        Json::Value& output) override {
+    const ControlReply reply =
+        this->handler(procedure.GetProcedureName(), Write(input));
     if (!reply.ok)
-      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, reply.text);
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS,
+                                      reply.text);
     Read(reply.text, output);
   }
 
@@ -52,8 +61,12 @@
 /** A server with the connector it listens by. */
 class OwningServer : public ControlServer {
  public:
-  OwningServer(int port, int threads, const std::vector<std::string>& methods, ControlHandler handler)
-      : connector(port, "", "", threads), server(connector, methods, std::move(handler)) {}
+  OwningServer(int port,
+               int threads,
+               const std::vector<std::string>& methods,
+               ControlHandler handler)
+      : connector(port, "", "", threads),
+        server(connector, methods, std::move(handler)) {}
   ~OwningServer() override { this->server.Stop(); }
 
   bool Start() { return this->server.Start(); }
@@ -65,11 +78,13 @@
 
 }  // namespace
 
-std::unique_ptr<ControlServer> StartControlServer(int port,
-                                                  int threads,
-                                                  const std::vector<std::string>& methods,
-                                                  ControlHandler handler) {
-  std::unique_ptr<OwningServer> server(new OwningServer(port, threads, methods, std::move(handler)));
+std::unique_ptr<ControlServer> StartControlServer(
+    int port,
+    int threads,
+    const std::vector<std::string>& methods,
+    ControlHandler handler) {
+  std::unique_ptr<OwningServer> server(
+      new OwningServer(port, threads, methods, std::move(handler)));
   if (!server->Start())
     return nullptr;
   return std::unique_ptr<ControlServer>(std::move(server));
--- a/src/control/control_func.h
+++ b/src/control/control_func.h
@@ -1,4 +1,5 @@
-/** @file control_func.h JSON-RPC between operators and balancers, behind a header without the library's own. */
+/** @file control_func.h JSON-RPC between operators and balancers, behind a
+ * header without the library's own. */
 
 #ifndef CUMINVANE_CONTROL_CONTROL_FUNC_H_
 #define CUMINVANE_CONTROL_CONTROL_FUNC_H_
@@ -17,7 +18,8 @@
 };
 
 /** Answers calls: method and parameters as JSON text in, JSON text out. */
-using ControlHandler = std::function<ControlReply(const std::string& method, const std::string& params)>;
+using ControlHandler = std::function<ControlReply(const std::string& method,
+                                                  const std::string& params)>;
 
 /** Listens for calls until it is destroyed. */
 class ControlServer {
@@ -33,10 +35,11 @@
  * @param handler Answers calls; called from several threads.
  * @return The server, or null where the port can't be used.
  */
-std::unique_ptr<ControlServer> StartControlServer(int port,
-                                                  int threads,
-                                                  const std::vector<std::string>& methods,
-                                                  ControlHandler handler);
+std::unique_ptr<ControlServer> StartControlServer(
+    int port,
+    int threads,
+    const std::vector<std::string>& methods,
+    ControlHandler handler);
 
 /**
  * Calls a method of a balancer.
--- a/src/core/board_base.h
+++ b/src/core/board_base.h
@@ -1,4 +1,5 @@
-/** @file board_base.h The blackboard: what this process believes, who said it and when. */
+/** @file board_base.h The blackboard: what this process believes, who said it
+ * and when. */
 
 #ifndef CUMINVANE_CORE_BOARD_BASE_H_
 #define CUMINVANE_CORE_BOARD_BASE_H_
@@ -31,12 +32,13 @@
   Holder id;
   bool serving = false;   ///< Callers' packets are taken.
   bool stopping = false;  ///< No new non-idempotent work is taken.
-  KeyNumber issue_key;  ///< Key that new tokens are made with.
+  KeyNumber issue_key;    ///< Key that new tokens are made with.
 
   bool operator==(const SelfState&) const = default;
 };
 
-/** Every entry of the blackboard at one moment; values are shared, never changed. */
+/** Every entry of the blackboard at one moment; values are shared, never
+ * changed. */
 struct BoardView {
   BoardEntry<Config> config;
   BoardEntry<VmList> vms;
@@ -47,7 +49,8 @@
 };
 
 /**
- * The blackboard. Controllers write their own entry; everybody reads all of them at once.
+ * The blackboard. Controllers write their own entry; everybody reads all of
+ * them at once.
  * @tparam Mutex Lock of the board.
  */
 template <Lockable Mutex>
@@ -66,7 +69,10 @@
    * @param now When.
    */
   template <class T>
-  void Write(BoardEntry<T> BoardView::*entry, std::shared_ptr<const T> value, BoardSource source, TimePoint now) {
+  void Write(BoardEntry<T> BoardView::*entry,
+             std::shared_ptr<const T> value,
+             BoardSource source,
+             TimePoint now) {
     this->view.With([&](std::shared_ptr<const BoardView>& current) {
       auto next = std::make_shared<BoardView>(*current);
       (*next).*entry = BoardEntry<T>{std::move(value), source, now};
@@ -82,20 +88,25 @@
    * @param now When.
    */
   template <class T, class Change>
-  void Update(BoardEntry<T> BoardView::*entry, Change change, BoardSource source, TimePoint now) {
+  void Update(BoardEntry<T> BoardView::*entry,
+              Change change,
+              BoardSource source,
+              TimePoint now) {
     this->view.With([&](std::shared_ptr<const BoardView>& current) {
       T value = *((*current).*entry).value;
       change(*current, value);
       if (value == *((*current).*entry).value)
         return;
       auto next = std::make_shared<BoardView>(*current);
-      (*next).*entry = BoardEntry<T>{std::make_shared<const T>(std::move(value)), source, now};
+      (*next).*entry = BoardEntry<T>{
+          std::make_shared<const T>(std::move(value)), source, now};
       current = std::move(next);
     });
   }
 
  private:
-  Guarded<std::shared_ptr<const BoardView>, Mutex> view{std::make_shared<const BoardView>()};
+  Guarded<std::shared_ptr<const BoardView>, Mutex> view{
+      std::make_shared<const BoardView>()};
 };
 
 }  // namespace cuminvane
--- a/src/core/budget_base.h
+++ b/src/core/budget_base.h
@@ -1,4 +1,5 @@
-/** @file budget_base.h Retry budget: retries stay a bounded share of the requests, also when everything fails. */
+/** @file budget_base.h Retry budget: retries stay a bounded share of the
+ * requests, also when everything fails. */
 
 #ifndef CUMINVANE_CORE_BUDGET_BASE_H_
 #define CUMINVANE_CORE_BUDGET_BASE_H_
--- a/src/core/caller_base.cc
+++ b/src/core/caller_base.cc
@@ -3,6 +3,7 @@
 #include "core/caller_base.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cuminvane {
 namespace {
@@ -11,7 +12,8 @@
 constexpr Milliseconds kMostBackoff{1200};
 /** Silence after which missing parts are asked for. */
 constexpr Milliseconds kPartGap{60};
-/** Silence after which the balancer that has the request is asked how it stands. */
+/** Silence after which the balancer that has the request is asked how it
+ * stands. */
 constexpr Milliseconds kStateInterval{600};
 /** Time in which a better word may follow one that the outcome is unknown. */
 constexpr Milliseconds kSettleTime{1000};
@@ -19,9 +21,12 @@
 constexpr uint32_t kMostParts = 4096;
 constexpr size_t kMostRuns = 4;
 constexpr size_t kPartsPerQuestion = 64;
+constexpr std::array<char, kOpenPadding> kPaddingBytes{};
+constexpr std::string_view kPadding(kPaddingBytes.data(), kPaddingBytes.size());
 
 Milliseconds NextBackoff(Milliseconds backoff) {
-  return backoff.count() == 0 ? kFirstBackoff : std::min(backoff * 2, kMostBackoff);
+  return backoff.count() == 0 ? kFirstBackoff
+                              : std::min(backoff * 2, kMostBackoff);
 }
 
 }  // namespace
@@ -52,7 +57,8 @@
   const auto flow = this->flows.find(handle);
   if (flow == this->flows.end())
     return key;
-  flow->second.waiting.push_back({key, work_class, deadline, std::move(payload), now});
+  flow->second.waiting.push_back(
+      {key, work_class, deadline, std::move(payload), now});
   this->Wake(deadline, handle);
   this->SubmitWaiting(now, flow->second, out);
   return key;
@@ -68,7 +74,9 @@
   for (auto& [number, request] : flow->second.pending) {
     if (request.key != key)
       continue;
-    const struct Cancel cancel{flow->second.id, MakeBlob(request.token), number, request.holder};
+    const struct Cancel cancel {
+      flow->second.id, MakeBlob(request.token), number, request.holder
+    };
     out.datagrams.push_back({flow->second.service, Encode(cancel)});
     request.act_at = now + kStateInterval;
     this->Wake(request.act_at, handle);
@@ -84,11 +92,14 @@
   this->flows.erase(flow);
 }
 
-void Caller::OnPacket(TimePoint now, std::string_view bytes, CallerOutput& out) {
+void Caller::OnPacket(TimePoint now,
+                      std::string_view bytes,
+                      CallerOutput& out) {
   const Result<Header> header = DecodeHeader(bytes);
   if (!header)
     return;
-  const auto handle = [&]<class Message>(void (Caller::*handler)(TimePoint, const Message&, CallerOutput&)) {
+  const auto handle = [&]<class Message>(void (Caller::*handler)(
+                          TimePoint, const Message&, CallerOutput&)) {
     const Result<Message> message = Decode<Message>(bytes, header.value());
     if (message)
       (this->*handler)(now, message.value(), out);
@@ -104,7 +115,8 @@
       handle(&Caller::OnVerdict);
       break;
     case MessageType::kReceipt:
-      if (const Result<Receipt> receipt = Decode<Receipt>(bytes, header.value()))
+      if (const Result<Receipt> receipt =
+              Decode<Receipt>(bytes, header.value()))
         this->OnReceipt(now, receipt.value());
       break;
     default:
@@ -122,6 +134,11 @@
   }
 }
 
+std::string Caller::TokenOf(FlowHandle flow) const {
+  const auto known = this->flows.find(flow);
+  return known == this->flows.end() ? "" : known->second.token;
+}
+
 size_t Caller::Pending() const {
   size_t pending = 0;
   for (const auto& [handle, flow] : this->flows)
@@ -130,13 +147,13 @@
 }
 
 void Caller::SendOpen(TimePoint now, Flow& flow, CallerOutput& out) {
-  static const std::string kPadding(kOpenPadding, '\0');
   std::string packet;
   if (flow.id == FlowId{}) {
     packet = Encode(Open{flow.nonce, MakeBlob(kPadding)});
   } else {
     // As an open, a reopen must not be smaller than its answer.
-    packet = Encode(Reopen{flow.id, MakeBlob(flow.token), flow.nonce, flow.highest, MakeBlob(kPadding)});
+    packet = Encode(Reopen{flow.id, MakeBlob(flow.token), flow.nonce,
+                           flow.highest, MakeBlob(kPadding)});
   }
   out.datagrams.push_back({flow.service, std::move(packet)});
   flow.open_backoff = NextBackoff(flow.open_backoff);
@@ -204,7 +221,9 @@
                          Flow& flow,
                          PendingRequest& request,
                          CallerOutput& out) {
-  NeedParts question{flow.id, MakeBlob(request.token), request.number, request.newest_run, request.holder, {}};
+  NeedParts question{flow.id,        MakeBlob(request.token),
+                     request.number, request.newest_run,
+                     request.holder, {}};
   const Assembly& assembly = request.runs[request.newest_run];
   for (uint32_t index = 0; index < assembly.have.size(); ++index) {
     if (!assembly.have[index] && question.missing.size() < kPartsPerQuestion)
@@ -212,7 +231,9 @@
   }
   out.datagrams.push_back({flow.service, Encode(question)});
   ++request.silent_polls;
-  const Milliseconds interval = question.missing.empty() ? kStateInterval : kPartGap * request.silent_polls;
+  const Milliseconds interval = question.missing.empty()
+                                    ? kStateInterval
+                                    : kPartGap * request.silent_polls;
   request.act_at = std::min(now + interval, request.deadline);
   this->Wake(request.act_at, flow.handle);
 }
@@ -244,7 +265,8 @@
     return;
   Flow& flow = this->flows.at(handle->second);
   if (static_cast<ResultCode>(opened.code) != ResultCode::kOk)
-    return;  // Tried again until the open gives up; another balancer may know more.
+    return;  // Tried again until the open gives up; another balancer may know
+             // more.
   const bool first = flow.id == FlowId{};
   if (!first && flow.id != opened.flow)
     return;
@@ -290,7 +312,8 @@
       out.datagrams.push_back({flow->service, Encode(done)});
     return;
   }
-  const bool sound = part.count != 0 && part.count <= kMostParts && part.index < part.count;
+  const bool sound =
+      part.count != 0 && part.count <= kMostParts && part.index < part.count;
   const bool known = request->runs.contains(part.run);
   if (!sound || (!known && request->runs.size() >= kMostRuns))
     return;
@@ -318,10 +341,13 @@
     answer += piece;
   const Done done{flow->id, MakeBlob(request->token), part.number, part.holder};
   out.datagrams.push_back({flow->service, Encode(done)});
-  this->Finish(now, *flow, part.number, ResultCode::kOk, std::move(answer), out);
+  this->Finish(now, *flow, part.number, ResultCode::kOk, std::move(answer),
+               out);
 }
 
-void Caller::OnVerdict(TimePoint now, const Verdict& verdict, CallerOutput& out) {
+void Caller::OnVerdict(TimePoint now,
+                       const Verdict& verdict,
+                       CallerOutput& out) {
   Flow* const flow = this->FindFlow(verdict.flow);
   if (flow == nullptr)
     return;
@@ -338,7 +364,8 @@
     return;
   }
   if (OutcomeOf(code) == Outcome::kNotRun || code == ResultCode::kUnavailable ||
-      code == ResultCode::kAnswerTooLarge || code == ResultCode::kDeadlineTooFar) {
+      code == ResultCode::kAnswerTooLarge ||
+      code == ResultCode::kDeadlineTooFar) {
     this->Finish(now, *flow, verdict.number, code, "", out);
     return;
   }
@@ -375,7 +402,8 @@
     flow.token = View(verdict.token);
     flow.fence = verdict.fence;
   }
-  WaitingRequest again{request.key, request.work_class, request.deadline, std::move(request.payload), request.sent_at};
+  WaitingRequest again{request.key, request.work_class, request.deadline,
+                       std::move(request.payload), request.sent_at};
   flow.pending.erase(verdict.number);
   flow.waiting.push_back(std::move(again));
   this->SubmitWaiting(now, flow, out);
--- a/src/core/caller_base.h
+++ b/src/core/caller_base.h
@@ -1,4 +1,5 @@
-/** @file caller_base.h The caller's side of the protocol: opens flows, sends requests, puts answers together. */
+/** @file caller_base.h The caller's side of the protocol: opens flows, sends
+ * requests, puts answers together. */
 
 #ifndef CUMINVANE_CORE_CALLER_BASE_H_
 #define CUMINVANE_CORE_CALLER_BASE_H_
@@ -18,8 +19,9 @@
 /**
  * Any number of flows of one caller.
  *
- * A number is only ever sent with the token it was first sent with, or with one whose fence covers it; so no two
- * balancers both dispatch it. Parts of different runs are never put together.
+ * A number is only ever sent with the token it was first sent with, or with one
+ * whose fence covers it; so no two balancers both dispatch it. Parts of
+ * different runs are never put together.
  */
 class Caller {
  public:
@@ -32,20 +34,31 @@
    * @param give_up_at When the open has failed.
    * @return The flow; an event tells when it is open.
    */
-  FlowHandle OpenFlow(TimePoint now, const Endpoint& service, TimePoint give_up_at, CallerOutput& out);
+  FlowHandle OpenFlow(TimePoint now,
+                      const Endpoint& service,
+                      TimePoint give_up_at,
+                      CallerOutput& out);
 
   /**
    * Sends a request in a flow; before the flow is open it waits.
    * @param deadline The caller's own time by which the answer is wanted.
    * @return The request; an event tells how it ended.
    */
-  RequestKey Send(TimePoint now, FlowHandle flow, ClassId work_class, TimePoint deadline, std::string payload, CallerOutput& out);
+  RequestKey Send(TimePoint now,
+                  FlowHandle handle,
+                  ClassId work_class,
+                  TimePoint deadline,
+                  std::string payload,
+                  CallerOutput& out);
 
   /** Gives a request up; an event still tells how it ended. */
-  void Cancel(TimePoint now, FlowHandle flow, RequestKey request, CallerOutput& out);
+  void Cancel(TimePoint now,
+              FlowHandle handle,
+              RequestKey key,
+              CallerOutput& out);
 
   /** Forgets a flow; what is in progress ends without an event. */
-  void CloseFlow(FlowHandle flow);
+  void CloseFlow(FlowHandle handle);
 
   /** Handles a datagram from a service; what belongs to no flow is ignored. */
   void OnPacket(TimePoint now, std::string_view bytes, CallerOutput& out);
@@ -53,6 +66,9 @@
   /** Sends again what is due and ends what is over. */
   void Tick(TimePoint now, CallerOutput& out);
 
+  /** @return The flow's token, empty before it is open. */
+  std::string TokenOf(FlowHandle flow) const;
+
   /** @return Requests not ended. */
   size_t Pending() const;
 
@@ -70,7 +86,7 @@
     RequestNumber number;
     std::string token;  ///< Token it is sent with.
     ClassId work_class;
-    TimePoint deadline;       ///< Caller's time.
+    TimePoint deadline;         ///< Caller's time.
     int64_t wire_deadline = 0;  ///< Fleet's time; the same in every attempt.
     std::string payload;
     TimePoint sent_at;
@@ -81,7 +97,8 @@
     Holder holder;  ///< Who has it on record.
     std::map<RunId, Assembly> runs;
     RunId newest_run;
-    ResultCode provisional = ResultCode::kOutcomeUnknown;  ///< How it ends if nothing better comes.
+    ResultCode provisional =
+        ResultCode::kOutcomeUnknown;  ///< How it ends if nothing better comes.
   };
 
   /** A request that waits for its flow to open. */
@@ -101,7 +118,8 @@
     std::string token;
     RequestNumber fence;
     RequestNumber highest;
-    uint64_t nonce = 0;  ///< Of the open or reopen in progress, 0 where none is.
+    uint64_t nonce =
+        0;  ///< Of the open or reopen in progress, 0 where none is.
     TimePoint opening_since;
     TimePoint open_act_at = kNever;
     TimePoint open_gives_up_at = kNever;
@@ -114,19 +132,43 @@
   void SendOpen(TimePoint now, Flow& flow, CallerOutput& out);
   void StartReopen(TimePoint now, Flow& flow, CallerOutput& out);
   void SubmitWaiting(TimePoint now, Flow& flow, CallerOutput& out);
-  void Submit(TimePoint now, Flow& flow, WaitingRequest waiting, CallerOutput& out);
-  void SendRequest(TimePoint now, Flow& flow, PendingRequest& request, CallerOutput& out);
-  void AskForParts(TimePoint now, Flow& flow, PendingRequest& request, CallerOutput& out);
-  void Finish(TimePoint now, Flow& flow, RequestNumber number, ResultCode code, std::string answer, CallerOutput& out);
+  void Submit(TimePoint now,
+              Flow& flow,
+              WaitingRequest waiting,
+              CallerOutput& out);
+  void SendRequest(TimePoint now,
+                   Flow& flow,
+                   PendingRequest& request,
+                   CallerOutput& out);
+  void AskForParts(TimePoint now,
+                   Flow& flow,
+                   PendingRequest& request,
+                   CallerOutput& out);
+  void Finish(TimePoint now,
+              Flow& flow,
+              RequestNumber number,
+              ResultCode code,
+              std::string answer,
+              CallerOutput& out);
   void OnOpened(TimePoint now, const Opened& opened, CallerOutput& out);
   void OnPart(TimePoint now, const Part& part, CallerOutput& out);
   void OnVerdict(TimePoint now, const Verdict& verdict, CallerOutput& out);
   void OnReceipt(TimePoint now, const Receipt& receipt);
-  void OnMoved(TimePoint now, Flow& flow, PendingRequest& request, const Verdict& verdict, CallerOutput& out);
-  void OnOwnerLost(TimePoint now, Flow& flow, PendingRequest& request, CallerOutput& out);
+  void OnMoved(TimePoint now,
+               Flow& flow,
+               PendingRequest& request,
+               const Verdict& verdict,
+               CallerOutput& out);
+  void OnOwnerLost(TimePoint now,
+                   Flow& flow,
+                   PendingRequest& request,
+                   CallerOutput& out);
   void TickFlow(TimePoint now, Flow& flow, CallerOutput& out);
   void TickOpening(TimePoint now, Flow& flow, CallerOutput& out);
-  void TickRequest(TimePoint now, Flow& flow, PendingRequest& request, CallerOutput& out);
+  void TickRequest(TimePoint now,
+                   Flow& flow,
+                   PendingRequest& request,
+                   CallerOutput& out);
   Flow* FindFlow(FlowId id);
   PendingRequest* FindPending(Flow& flow, RequestNumber number);
   void Wake(TimePoint at, FlowHandle flow);
--- a/src/core/caller_type.h
+++ b/src/core/caller_type.h
@@ -15,7 +15,8 @@
 
 /** A flow as its caller knows it, before and after it is open. */
 using FlowHandle = StrongId<struct FlowHandleTag, uint64_t>;
-/** A request as its caller knows it; its number in the flow may change while it was not run. */
+/** A request as its caller knows it; its number in the flow may change while it
+ * was not run. */
 using RequestKey = StrongId<struct RequestKeyTag, uint64_t>;
 
 /** Something a caller is told. */
@@ -28,9 +29,9 @@
   FlowId flow;
   RequestNumber number;
   ResultCode code = ResultCode::kOk;
-  std::string answer;         ///< The whole answer, with kOk.
-  Microseconds latency{0};    ///< From the request, or the open, to this event.
-  uint32_t attempts = 0;      ///< Times the request was sent.
+  std::string answer;       ///< The whole answer, with kOk.
+  Microseconds latency{0};  ///< From the request, or the open, to this event.
+  uint32_t attempts = 0;    ///< Times the request was sent.
 
   bool operator==(const CallerEvent&) const = default;
 };
--- a/src/core/config_func.cc
+++ b/src/core/config_func.cc
@@ -1,4 +1,5 @@
-/** @file config_func.cc Checking and parsing of the operators' configuration. */
+/** @file config_func.cc Checking and parsing of the operators' configuration.
+ */
 
 #include "core/config_func.h"
 
@@ -70,8 +71,8 @@
     for (const std::string& text : section.List("addresses")) {
       const Endpoint address = ParseEndpoint(text).value_or(Endpoint{});
       if (!this->addresses.insert(address).second)
-        this->Add(raw, section.Line("addresses"), "addresses",
-                  text + " again", "each address once, for one service");
+        this->Add(raw, section.Line("addresses"), "addresses", text + " again",
+                  "each address once, for one service");
       service.addresses.push_back(address);
     }
     this->data_centres.insert(service.data_centres.begin(),
@@ -96,14 +97,15 @@
   void ParseChange(const IniSection& raw, const SectionReader& section) {
     PlannedChange change;
     change.name = section.Name();
-    change.kind = section.Text("kind") == "stop" ? ChangeKind::kStop
-                                                 : ChangeKind::kDrain;
+    change.kind =
+        section.Text("kind") == "stop" ? ChangeKind::kStop : ChangeKind::kDrain;
     change.vm = VmId{static_cast<uint32_t>(section.Integer("vm"))};
     change.data_centre = section.Text("data_centre");
     change.begins_at = section.Time("begins_at").value_or(kNever);
     const bool names_vm = change.vm != VmId{};
     if (names_vm != change.data_centre.empty())
-      this->Add(raw, raw.line, "vm", names_vm ? "vm and data_centre" : "neither",
+      this->Add(raw, raw.line, "vm",
+                names_vm ? "vm and data_centre" : "neither",
                 "either vm or data_centre");
     this->check.config.changes.push_back(std::move(change));
   }
@@ -115,22 +117,27 @@
     const std::string secret =
         ParseHex(section.Text("secret")).value_or(std::string());
     TokenKey key{};
-    std::copy_n(secret.begin(), std::min(secret.size(), key.size()), key.begin());
+    std::copy_n(secret.begin(), std::min(secret.size(), key.size()),
+                key.begin());
     if (!this->check.config.keys.emplace(number, key).second)
-      this->Add(raw, raw.line, "", section.Name() + " again", "each number once");
+      this->Add(raw, raw.line, "", section.Name() + " again",
+                "each number once");
   }
 
-  /** References can point forwards, so they are checked when all sections are known. */
+  /** References can point forwards, so they are checked when all sections are
+   * known. */
   void CheckReferences(const IniSection& raw) {
     const std::string_view kind = SectionKind(raw.name);
     const SectionReader section(raw, kConfigSchema);
     if (kind == "class" && !section.Text("service").empty() &&
         FindService(this->check.config, ServiceIdOf(section.Text("service"))) ==
             nullptr)
-      this->Add(raw, section.Line("service"), "service", section.Text("service"),
+      this->Add(raw, section.Line("service"), "service",
+                section.Text("service"),
                 "a service of this document: " + this->ServiceNames());
     const std::string centre = section.Text("data_centre");
-    if (kind == "change" && !centre.empty() && !this->data_centres.contains(centre))
+    if (kind == "change" && !centre.empty() &&
+        !this->data_centres.contains(centre))
       this->Add(raw, section.Line("data_centre"), "data_centre", centre,
                 "a data centre of a service: " + this->DataCentreNames());
   }
@@ -162,7 +169,6 @@
   const IniDocument document = ReadIni(file, text, check.problems);
   CheckSchema(document, kConfigSchema, check.problems);
   ConfigParser(document, check).ParseAll();
-  check.config.text = text;
   return check;
 }
 
@@ -176,7 +182,8 @@
 
 const Service* FindService(const Config& config, const Endpoint& address) {
   for (const Service& service : config.services) {
-    if (std::ranges::find(service.addresses, address) != service.addresses.end())
+    if (std::ranges::find(service.addresses, address) !=
+        service.addresses.end())
       return &service;
   }
   return nullptr;
@@ -192,7 +199,9 @@
   return work == config.classes.end() ? nullptr : &*work;
 }
 
-const PlannedChange* FindChange(const Config& config, const Vm& vm, TimePoint now) {
+const PlannedChange* FindChange(const Config& config,
+                                const Vm& vm,
+                                TimePoint now) {
   for (const PlannedChange& change : config.changes) {
     const bool concerns =
         change.vm == vm.id ||
--- a/src/core/config_func.h
+++ b/src/core/config_func.h
@@ -1,4 +1,5 @@
-/** @file config_func.h Parses the operators' configuration and answers questions about it. */
+/** @file config_func.h Parses the operators' configuration and answers
+ * questions about it. */
 
 #ifndef CUMINVANE_CORE_CONFIG_FUNC_H_
 #define CUMINVANE_CORE_CONFIG_FUNC_H_
@@ -39,7 +40,8 @@
  */
 ClassId ClassIdOf(std::string_view name);
 
-/** @return The service callers reach by the address, null where there is none. */
+/** @return The service callers reach by the address, null where there is none.
+ */
 const Service* FindService(const Config& config, const Endpoint& address);
 /** @return The service, null where there is none. */
 const Service* FindService(const Config& config, ServiceId id);
@@ -50,9 +52,12 @@
  * @param config The configuration in force.
  * @param vm A VM of the platform's list.
  * @param now The present time.
- * @return The planned change that holds for the VM now, null where there is none.
+ * @return The planned change that holds for the VM now, null where there is
+ * none.
  */
-const PlannedChange* FindChange(const Config& config, const Vm& vm, TimePoint now);
+const PlannedChange* FindChange(const Config& config,
+                                const Vm& vm,
+                                TimePoint now);
 
 }  // namespace cuminvane
 
--- a/src/core/config_type.h
+++ b/src/core/config_type.h
@@ -1,4 +1,5 @@
-/** @file config_type.h The operators' configuration as values: services, classes, changes, keys. */
+/** @file config_type.h The operators' configuration as values: services,
+ * classes, changes, keys. */
 
 #ifndef CUMINVANE_CORE_CONFIG_TYPE_H_
 #define CUMINVANE_CORE_CONFIG_TYPE_H_
@@ -30,10 +31,10 @@
 
 /** What operators ask of a class of work. */
 struct ClassTarget {
-  int64_t answered_within_ms = 0;        ///< Time to the whole answer.
-  double answered_percent = 0;           ///< Share answered within that time.
-  double broken_flows_per_million = 0;   ///< Flows broken.
-  double imbalance_percent = 0;          ///< Busiest above mean.
+  int64_t answered_within_ms = 0;       ///< Time to the whole answer.
+  double answered_percent = 0;          ///< Share answered within that time.
+  double broken_flows_per_million = 0;  ///< Flows broken.
+  double imbalance_percent = 0;         ///< Busiest above mean.
 
   bool operator==(const ClassTarget&) const = default;
 };
@@ -70,7 +71,6 @@
   std::vector<WorkClass> classes;
   std::vector<PlannedChange> changes;
   std::map<KeyNumber, TokenKey> keys;
-  std::string text;  ///< The document as published, for peers that lack it.
 
   bool operator==(const Config&) const = default;
 };
--- a/src/core/decision_type.h
+++ b/src/core/decision_type.h
@@ -1,4 +1,5 @@
-/** @file decision_type.h What the core wants logged: one value for each decision, formatted by the shell. */
+/** @file decision_type.h What the core wants logged: one value for each
+ * decision, formatted by the shell. */
 
 #ifndef CUMINVANE_CORE_DECISION_TYPE_H_
 #define CUMINVANE_CORE_DECISION_TYPE_H_
--- a/src/core/document_base.h
+++ b/src/core/document_base.h
@@ -1,4 +1,5 @@
-/** @file document_base.h One published document in a balancer: takes newer versions from anywhere and passes them on. */
+/** @file document_base.h One published document in a balancer: takes newer
+ * versions from anywhere and passes them on. */
 
 #ifndef CUMINVANE_CORE_DOCUMENT_BASE_H_
 #define CUMINVANE_CORE_DOCUMENT_BASE_H_
@@ -52,7 +53,8 @@
 };
 
 template <class Kind>
-concept DocumentTraits = requires(std::string_view text, IniProblems& problems) {
+concept DocumentTraits = requires(std::string_view text,
+                                  IniProblems& problems) {
   { Kind::Check(text, problems) } -> std::same_as<typename Kind::Value>;
   { Kind::kKind } -> std::convertible_to<DocumentKind>;
 };
@@ -60,8 +62,9 @@
 /**
  * One document: the highest version seen is in force for good.
  *
- * A new version reaches the fleet by pushed deltas; whoever misses one notices by the stamps in heartbeats and pulls
- * deltas, or the whole text in chunks where the deltas are gone.
+ * A new version reaches the fleet by pushed deltas; whoever misses one notices
+ * by the stamps in heartbeats and pulls deltas, or the whole text in chunks
+ * where the deltas are gone.
  */
 template <DocumentTraits Kind>
 class DocumentStore {
@@ -79,7 +82,8 @@
    * @param peers Where to pass it on.
    * @param random Chooses the peers.
    * @param out Receives the messages and the log line.
-   * @return kOk; kInvalidDocument with every problem, kStaleDocument, or kOk again for the one in force.
+   * @return kOk; kInvalidDocument with every problem, kStaleDocument, or kOk
+   * again for the one in force.
    */
   Result<void> Offer(std::string_view text,
                      const std::vector<Endpoint>& peers,
@@ -91,7 +95,10 @@
   }
 
   /** Notices by a heartbeat that a peer has a newer document. */
-  void OnPeerStamp(TimePoint now, const Endpoint& peer, const DocumentStamp& theirs, Output& out) {
+  void OnPeerStamp(TimePoint now,
+                   const Endpoint& peer,
+                   const DocumentStamp& theirs,
+                   Output& out) {
     if (theirs <= this->stamp || now < this->next_pull_at)
       return;
     this->next_pull_at = now + kPullInterval;
@@ -121,7 +128,9 @@
   }
 
   /** Answers a peer that lacks something. */
-  void OnPull(const Endpoint& peer, const DocumentPull& pull, Output& out) const {
+  void OnPull(const Endpoint& peer,
+              const DocumentPull& pull,
+              Output& out) const {
     if (this->current == nullptr || pull.have >= this->stamp)
       return;
     if (pull.want == this->stamp) {
@@ -144,12 +153,14 @@
                const std::vector<Endpoint>& peers,
                RandomEngine& random,
                Output& out) {
-    if (chunk.stamp <= this->stamp || chunk.count == 0 || chunk.count > kMostChunks)
+    if (chunk.stamp <= this->stamp || chunk.count == 0 ||
+        chunk.count > kMostChunks)
       return;
     if (chunk.stamp < this->fetch.stamp)
       return;
     if (chunk.stamp != this->fetch.stamp)
-      this->fetch = {chunk.stamp, peer, std::vector<std::string>(chunk.count), 0, 0, kNever};
+      this->fetch = {chunk.stamp, peer, std::vector<std::string>(chunk.count),
+                     0,           0,    kNever};
     if (chunk.index >= this->fetch.chunks.size())
       return;
     std::string& place = this->fetch.chunks[chunk.index];
@@ -184,7 +195,8 @@
   static constexpr size_t kMostChunks = 2048;
   static constexpr size_t kChunkWindow = 8;
   static constexpr size_t kDeltasKept = 64;
-  static constexpr size_t kDeltaLimit = 4096;  ///< Larger changes travel as chunks.
+  static constexpr size_t kDeltaLimit =
+      4096;  ///< Larger changes travel as chunks.
   static constexpr size_t kPushFanout = 3;
 
   /** A whole document on its way in. */
@@ -210,22 +222,28 @@
     Value value = Kind::Check(published, problems);
     if (!problems.empty()) {
       if (digest != this->refused_digest)
-        this->Log("document_refused", "invalid", ResultCode::kInvalidDocument, out);
+        this->Log("document_refused", "invalid", ResultCode::kInvalidDocument,
+                  out);
       this->refused_digest = digest;
       return Error{ResultCode::kInvalidDocument, FormatProblems(problems)};
     }
     const DocumentStamp offered{value.version, digest};
     if (offered <= this->stamp) {
       this->Log("document_refused", "stale", ResultCode::kStaleDocument, out);
-      return Error{ResultCode::kStaleDocument, "version " + ToString(offered.version) + " is not above version " +
-                                                   ToString(this->stamp.version) + " in force"};
+      return Error{ResultCode::kStaleDocument,
+                   "version " + ToString(offered.version) +
+                       " is not above version " +
+                       ToString(this->stamp.version) + " in force"};
     }
     this->Adopt(std::move(new_sections), std::move(value), offered, out);
     this->Push(peers, random, out);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
-  void Adopt(SectionTexts new_sections, Value value, const DocumentStamp& offered, Output& out) {
+  void Adopt(SectionTexts new_sections,
+             Value value,
+             const DocumentStamp& offered,
+             Output& out) {
     DocumentDelta delta = MakeDelta(this->sections, new_sections);
     delta.kind = static_cast<uint8_t>(Kind::kKind);
     delta.from = this->stamp;
@@ -240,7 +258,9 @@
     this->Log("document_in_force", ToString(Kind::kKind), ResultCode::kOk, out);
   }
 
-  void Push(const std::vector<Endpoint>& peers, RandomEngine& random, Output& out) const {
+  void Push(const std::vector<Endpoint>& peers,
+            RandomEngine& random,
+            Output& out) const {
     const std::string delta = Encode(this->deltas.back());
     if (delta.size() > kDeltaLimit)
       return;  // Peers notice by the stamps in heartbeats and pull.
@@ -251,36 +271,44 @@
   }
 
   void Pull(const Endpoint& peer, Output& out) const {
-    const DocumentPull pull{static_cast<uint8_t>(Kind::kKind), this->stamp, {}, 0};
+    const DocumentPull pull{
+        static_cast<uint8_t>(Kind::kKind), this->stamp, {}, 0};
     out.datagrams.push_back({Lane::kPeer, peer, Encode(pull)});
   }
 
-  /** @return Index of the oldest delta that starts at `have`, the number of deltas where there is none. */
+  /** @return Index of the oldest delta that starts at `have`, the number of
+   * deltas where there is none. */
   size_t FirstDeltaFrom(const DocumentStamp& have) const {
-    const auto first = std::ranges::find(this->deltas, have, &DocumentDelta::from);
+    const auto first =
+        std::ranges::find(this->deltas, have, &DocumentDelta::from);
     size_t bytes = 0;
     for (auto delta = first; delta != this->deltas.end(); ++delta)
       bytes += Encode(*delta).size();
     const bool worthwhile = have != DocumentStamp{} && bytes <= kDeltaLimit;
-    return worthwhile ? static_cast<size_t>(first - this->deltas.begin()) : this->deltas.size();
+    return worthwhile ? static_cast<size_t>(first - this->deltas.begin())
+                      : this->deltas.size();
   }
 
   void SendChunk(const Endpoint& peer, uint32_t index, Output& out) const {
     const size_t count = (this->text.size() + kChunkBytes - 1) / kChunkBytes;
     if (index >= count)
       return;
-    const std::string_view piece = std::string_view(this->text).substr(index * kChunkBytes, kChunkBytes);
-    const DocumentChunk chunk{static_cast<uint8_t>(Kind::kKind), this->stamp, index, static_cast<uint32_t>(count),
+    const std::string_view piece =
+        std::string_view(this->text).substr(index * kChunkBytes, kChunkBytes);
+    const DocumentChunk chunk{static_cast<uint8_t>(Kind::kKind), this->stamp,
+                              index, static_cast<uint32_t>(count),
                               MakeBlob(piece)};
     out.datagrams.push_back({Lane::kPeer, peer, Encode(chunk)});
   }
 
   void AskForChunks(TimePoint now, Output& out) {
     size_t asked = 0;
-    for (uint32_t index = 0; index < this->fetch.chunks.size() && asked < kChunkWindow; ++index) {
+    for (uint32_t index = 0;
+         index < this->fetch.chunks.size() && asked < kChunkWindow; ++index) {
       if (!this->fetch.chunks[index].empty())
         continue;
-      const DocumentPull pull{static_cast<uint8_t>(Kind::kKind), this->stamp, this->fetch.stamp, index};
+      const DocumentPull pull{static_cast<uint8_t>(Kind::kKind), this->stamp,
+                              this->fetch.stamp, index};
       out.datagrams.push_back({Lane::kPeer, this->fetch.peer, Encode(pull)});
       ++asked;
     }
@@ -288,10 +316,14 @@
     this->fetch.retry_at = now + kChunkRetry;
   }
 
-  void Log(const char* event, const char* reason, ResultCode code, Output& out) const {
+  void Log(const char* event,
+           const char* reason,
+           ResultCode code,
+           Output& out) const {
     Decision decision;
     decision.topic = Topic::kConfig;
-    decision.severity = code == ResultCode::kInvalidDocument ? Severity::kError : Severity::kInfo;
+    decision.severity = code == ResultCode::kInvalidDocument ? Severity::kError
+                                                             : Severity::kInfo;
     decision.event = event;
     decision.reason = reason;
     decision.version = this->stamp.version;
--- a/src/core/document_func.cc
+++ b/src/core/document_func.cc
@@ -23,7 +23,7 @@
 std::string JoinSections(const SectionTexts& sections) {
   std::string text;
   for (const auto& [name, body] : sections)
-    text += "[" + name + "]\n" + body + "\n";
+    text.append("[").append(name).append("]\n").append(body).append("\n");
   return text;
 }
 
--- a/src/core/document_func.h
+++ b/src/core/document_func.h
@@ -1,4 +1,5 @@
-/** @file document_func.h Canonical text of documents, and the differences between two versions. */
+/** @file document_func.h Canonical text of documents, and the differences
+ * between two versions. */
 
 #ifndef CUMINVANE_CORE_DOCUMENT_FUNC_H_
 #define CUMINVANE_CORE_DOCUMENT_FUNC_H_
@@ -14,7 +15,8 @@
 
 namespace cuminvane {
 
-/** A document as sections in order of name; two texts that mean the same have the same sections. */
+/** A document as sections in order of name; two texts that mean the same have
+ * the same sections. */
 using SectionTexts = std::map<std::string, std::string>;
 
 /** @return The document's sections in canonical form, without comments. */
@@ -26,11 +28,14 @@
 /** @return The digest of a canonical text. */
 uint64_t DigestOf(std::string_view canonical_text);
 
-/** @return What turns `old_sections` into `new_sections`; the stamps and kind are left to the caller. */
-DocumentDelta MakeDelta(const SectionTexts& old_sections, const SectionTexts& new_sections);
+/** @return What turns `old_sections` into `new_sections`; the stamps and kind
+ * are left to the caller. */
+DocumentDelta MakeDelta(const SectionTexts& old_sections,
+                        const SectionTexts& new_sections);
 
 /** @return The sections after the delta. */
-SectionTexts ApplyDelta(const SectionTexts& sections, const DocumentDelta& delta);
+SectionTexts ApplyDelta(const SectionTexts& sections,
+                        const DocumentDelta& delta);
 
 }  // namespace cuminvane
 
--- a/src/core/document_type.h
+++ b/src/core/document_type.h
@@ -1,4 +1,5 @@
-/** @file document_type.h How published documents are ordered and passed from balancer to balancer. */
+/** @file document_type.h How published documents are ordered and passed from
+ * balancer to balancer. */
 
 #ifndef CUMINVANE_CORE_DOCUMENT_TYPE_H_
 #define CUMINVANE_CORE_DOCUMENT_TYPE_H_
@@ -17,7 +18,8 @@
 /** @return The kind's name at the platform and in logs. */
 const char* ToString(DocumentKind kind);
 
-/** Orders documents; the digest decides where two were published under one version, so that all agree. */
+/** Orders documents; the digest decides where two were published under one
+ * version, so that all agree. */
 struct DocumentStamp {
   ConfigVersion version;
   uint64_t digest = 0;  ///< Of the canonical text.
@@ -48,12 +50,14 @@
   MSGPACK_DEFINE_ARRAY(kind, from, to, removed, changed)
 };
 
-/** Asks a peer for what it has that is newer; `index` asks for that chunk of the whole text. */
+/** Asks a peer for what it has that is newer; `index` asks for that chunk of
+ * the whole text. */
 struct DocumentPull {
   static constexpr MessageType kType = MessageType::kDocumentPull;
   uint8_t kind = 0;
   DocumentStamp have;
-  DocumentStamp want;  ///< Document the chunk belongs to; none: whatever brings `have` up to date.
+  DocumentStamp want;  ///< Document the chunk belongs to; none: whatever brings
+                       ///< `have` up to date.
   uint32_t index = 0;
 
   bool operator==(const DocumentPull&) const = default;
--- a/src/core/guarded_type.h
+++ b/src/core/guarded_type.h
@@ -1,4 +1,5 @@
-/** @file guarded_type.h A value behind its own lock; the kind of lock is the user's choice. */
+/** @file guarded_type.h A value behind its own lock; the kind of lock is the
+ * user's choice. */
 
 #ifndef CUMINVANE_CORE_GUARDED_TYPE_H_
 #define CUMINVANE_CORE_GUARDED_TYPE_H_
--- a/src/core/ids_type.h
+++ b/src/core/ids_type.h
@@ -1,4 +1,5 @@
-/** @file ids_type.h Strong types for every identifier, so that none is passed for another. */
+/** @file ids_type.h Strong types for every identifier, so that none is passed
+ * for another. */
 
 #ifndef CUMINVANE_CORE_IDS_TYPE_H_
 #define CUMINVANE_CORE_IDS_TYPE_H_
--- a/src/core/ini_func.cc
+++ b/src/core/ini_func.cc
@@ -1,4 +1,5 @@
-/** @file ini_func.cc INI reading through inih, which is fed line by line so that each entry knows its line. */
+/** @file ini_func.cc INI reading through inih, which is fed line by line so
+ * that each entry knows its line. */
 
 #include "core/ini_func.h"
 
@@ -39,7 +40,8 @@
   sections.push_back({std::string(name), reading.line, {}});
 }
 
-/** inih reports no empty sections, so headers are noticed here as lines go by. */
+/** inih reports no empty sections, so headers are noticed here as lines go by.
+ */
 void NoticeHeader(Reading& reading, std::string_view line) {
   const std::string_view trimmed = Trim(line);
   if (trimmed.empty() || trimmed.front() != '[')
@@ -102,7 +104,8 @@
   return 1;
 }
 
-/** Lines inih can't read, found by reading each alone: inih itself reports only the first. */
+/** Lines inih can't read, found by reading each alone: inih itself reports only
+ * the first. */
 void FindUnreadable(const IniDocument& document,
                     std::string_view text,
                     IniProblems& problems) {
@@ -145,9 +148,9 @@
   std::ostringstream out;
   for (const IniProblem& problem : problems) {
     out << problem.file << ":" << problem.line << ": section=["
-        << problem.section << "] key=" << (problem.key.empty() ? "-" : problem.key)
-        << " found=\"" << problem.found << "\" allowed=\"" << problem.allowed
-        << "\"\n";
+        << problem.section
+        << "] key=" << (problem.key.empty() ? "-" : problem.key) << " found=\""
+        << problem.found << "\" allowed=\"" << problem.allowed << "\"\n";
   }
   return out.str();
 }
--- a/src/core/ini_func.h
+++ b/src/core/ini_func.h
@@ -1,4 +1,5 @@
-/** @file ini_func.h Reads INI text into a document and formats what is wrong with one. */
+/** @file ini_func.h Reads INI text into a document and formats what is wrong
+ * with one. */
 
 #ifndef CUMINVANE_CORE_INI_FUNC_H_
 #define CUMINVANE_CORE_INI_FUNC_H_
@@ -11,7 +12,8 @@
 namespace cuminvane {
 
 /**
- * Reads INI text; lines that are no INI and duplicate sections or keys are problems.
+ * Reads INI text; lines that are no INI and duplicate sections or keys are
+ * problems.
  * @param file Name used in messages.
  * @param text The whole text.
  * @param problems Problems are added at the end.
--- a/src/core/ini_type.h
+++ b/src/core/ini_type.h
@@ -1,4 +1,5 @@
-/** @file ini_type.h An INI document as read: sections of entries, each with its line. */
+/** @file ini_type.h An INI document as read: sections of entries, each with its
+ * line. */
 
 #ifndef CUMINVANE_CORE_INI_TYPE_H_
 #define CUMINVANE_CORE_INI_TYPE_H_
@@ -34,7 +35,8 @@
   bool operator==(const IniDocument&) const = default;
 };
 
-/** One thing wrong in a document, complete enough to correct it without looking elsewhere. */
+/** One thing wrong in a document, complete enough to correct it without looking
+ * elsewhere. */
 struct IniProblem {
   std::string file;
   int line = 0;
--- a/src/core/member_base.cc
+++ b/src/core/member_base.cc
@@ -17,7 +17,8 @@
 constexpr size_t kUpdatesPerMessage = 12;
 /** Each update is sent this many times per doubling of the fleet. */
 constexpr int kSendsPerDoubling = 3;
-/** How long a dead member is remembered, so that old news does not revive it. */
+/** How long a dead member is remembered, so that old news does not revive it.
+ */
 constexpr Seconds kDeadMemory{600};
 /** Members of one other data centre that this member probes. */
 constexpr size_t kContactsPerDataCentre = 8;
@@ -26,7 +27,8 @@
   return state == MemberState::kDead || state == MemberState::kLeft;
 }
 
-/** Whether `news` replaces `belief`: a later start, then a later round, then the graver state. */
+/** Whether `news` replaces `belief`: a later start, then a later round, then
+ * the graver state. */
 bool Replaces(const MemberInfo& news, const MemberInfo& belief) {
   if (news.id.incarnation != belief.id.incarnation)
     return news.id.incarnation > belief.id.incarnation;
@@ -223,7 +225,8 @@
                         Entry& entry,
                         const MemberInfo& info,
                         Output& out) {
-  const bool visible = entry.info.id != info.id || entry.info.state != info.state;
+  const bool visible =
+      entry.info.id != info.id || entry.info.state != info.state;
   entry.info = info;
   if (entry.sends_left <= 0)
     this->fresh.push_back(info.id.vm);
@@ -263,8 +266,8 @@
     this->ReviveProbe(random, out);
     return;
   }
-  this->probe = {this->next_sequence++, target, now + this->timing.probe_timeout,
-                 now + this->timing.probe};
+  this->probe = {this->next_sequence++, target,
+                 now + this->timing.probe_timeout, now + this->timing.probe};
   this->SendPing(this->entries[target].info, this->probe.sequence, out);
   // A cut that has healed is only noticed by asking those on its other side.
   constexpr uint64_t kProbesPerRevival = 8;
@@ -280,8 +283,9 @@
   if (this->probe.fails_at <= now) {
     const auto target = this->entries.find(this->probe.target);
     this->probe = {};
-    if (target == this->entries.end() || target->second.info.state >=
-                                             static_cast<uint8_t>(MemberState::kSuspect))
+    if (target == this->entries.end() ||
+        target->second.info.state >=
+            static_cast<uint8_t>(MemberState::kSuspect))
       return;
     MemberInfo suspect = target->second.info;
     suspect.state = static_cast<uint8_t>(MemberState::kSuspect);
@@ -365,7 +369,9 @@
   this->SendPing(this->entries[target].info, this->next_sequence++, out);
 }
 
-void MemberTable::SendPing(const MemberInfo& to, uint64_t sequence, Output& out) {
+void MemberTable::SendPing(const MemberInfo& to,
+                           uint64_t sequence,
+                           Output& out) {
   Ping ping{sequence, this->self, this->versions, this->TakeUpdates()};
   // A member that is under suspicion must hear of it to refute it.
   if (to.State() >= MemberState::kSuspect)
--- a/src/core/member_base.h
+++ b/src/core/member_base.h
@@ -1,4 +1,5 @@
-/** @file member_base.h Membership of the balancers: random probes, indirect probes and suspicion, as in SWIM. */
+/** @file member_base.h Membership of the balancers: random probes, indirect
+ * probes and suspicion, as in SWIM. */
 
 #ifndef CUMINVANE_CORE_MEMBER_BASE_H_
 #define CUMINVANE_CORE_MEMBER_BASE_H_
@@ -17,7 +18,8 @@
 
 namespace cuminvane {
 
-/** What peers said of their documents, for the controller that fetches newer ones. */
+/** What peers said of their documents, for the controller that fetches newer
+ * ones. */
 struct PeerVersions {
   Endpoint peer;
   DocumentVersions versions;
@@ -28,8 +30,9 @@
 /**
  * Who of the fleet's balancers is there.
  *
- * The platform's list only proposes members; their own answers decide. Cost per member does not depend on the size
- * of the fleet: one probe an interval, and a bounded number of updates in each message.
+ * The platform's list only proposes members; their own answers decide. Cost per
+ * member does not depend on the size of the fleet: one probe an interval, and a
+ * bounded number of updates in each message.
  */
 class MemberTable {
  public:
@@ -43,11 +46,17 @@
   void Propose(const VmList& list, TimePoint now);
 
   /** Handles a ping. */
-  void OnPing(TimePoint now, const Endpoint& from, const Ping& ping, Output& out);
+  void OnPing(TimePoint now,
+              const Endpoint& from,
+              const Ping& ping,
+              Output& out);
   /** Handles an acknowledgement. */
   void OnAck(TimePoint now, const Ack& ack, Output& out);
   /** Handles a request to probe another member. */
-  void OnPingRequest(TimePoint now, const Endpoint& from, const PingRequest& request, Output& out);
+  void OnPingRequest(TimePoint now,
+                     const Endpoint& from,
+                     const PingRequest& request,
+                     Output& out);
   /** Sends due probes and ends due suspicions. */
   void Tick(TimePoint now, RandomEngine& random, Output& out);
 
@@ -76,8 +85,9 @@
   /** Belief about one other member. */
   struct Entry {
     MemberInfo info;
-    TimePoint state_until = kNever;  ///< End of a suspicion, or when a dead member is forgotten.
-    int sends_left = 0;              ///< Messages this belief is still added to.
+    TimePoint state_until =
+        kNever;  ///< End of a suspicion, or when a dead member is forgotten.
+    int sends_left = 0;  ///< Messages this belief is still added to.
   };
 
   /** A probe that waits for its answer. */
@@ -98,7 +108,10 @@
   void Merge(TimePoint now, const MemberInfo& info, Output& out);
   void Refute(const MemberInfo& info);
   void Adopt(TimePoint now, Entry& entry, const MemberInfo& info, Output& out);
-  void MergeAll(TimePoint now, const MemberInfo& from, const std::vector<MemberInfo>& updates, Output& out);
+  void MergeAll(TimePoint now,
+                const MemberInfo& from,
+                const std::vector<MemberInfo>& updates,
+                Output& out);
   std::vector<MemberInfo> TakeUpdates();
   void StartProbe(TimePoint now, RandomEngine& random, Output& out);
   void ContinueProbe(TimePoint now, RandomEngine& random, Output& out);
@@ -113,8 +126,9 @@
   MembershipTiming timing;
   DocumentVersions versions;
   std::map<VmId, Entry> entries;
-  std::deque<VmId> fresh;                     ///< Members whose beliefs are still passed on.
-  std::multimap<TimePoint, VmId> state_ends;  ///< When to look at `state_until`; may hold stale ones.
+  std::deque<VmId> fresh;  ///< Members whose beliefs are still passed on.
+  std::multimap<TimePoint, VmId>
+      state_ends;  ///< When to look at `state_until`; may hold stale ones.
   std::vector<VmId> probe_order;  ///< Members still to probe in this round.
   Probe probe;
   TimePoint next_probe_at;
--- a/src/core/member_type.h
+++ b/src/core/member_type.h
@@ -1,4 +1,5 @@
-/** @file member_type.h What balancers tell each other about the balancers of the fleet. */
+/** @file member_type.h What balancers tell each other about the balancers of
+ * the fleet. */
 
 #ifndef CUMINVANE_CORE_MEMBER_TYPE_H_
 #define CUMINVANE_CORE_MEMBER_TYPE_H_
@@ -13,7 +14,8 @@
 
 namespace cuminvane {
 
-/** Belief about one member; at the same round a higher state replaces a lower one. */
+/** Belief about one member; at the same round a higher state replaces a lower
+ * one. */
 enum class MemberState : uint8_t {
   kAlive = 0,
   kLeaving = 1,  ///< Says itself that it is stopping.
@@ -99,7 +101,8 @@
 /** @return The statement about the VM, null where there is none. */
 const MemberInfo* FindMember(const MemberView& view, VmId vm);
 
-/** @return The member that takes a flow over from this one, none where no other is alive. */
+/** @return The member that takes a flow over from this one, none where no other
+ * is alive. */
 Holder SuccessorOf(const MemberView& view, FlowId flow);
 
 }  // namespace cuminvane
--- a/src/core/message_func.cc
+++ b/src/core/message_func.cc
@@ -1,4 +1,5 @@
-/** @file message_func.cc Encoding and decoding of datagrams with MessagePack. */
+/** @file message_func.cc Encoding and decoding of datagrams with MessagePack.
+ */
 
 #include "core/message_func.h"
 
@@ -46,8 +47,7 @@
 Result<msgpack::object> UnpackBody(std::string_view datagram,
                                    size_t offset,
                                    msgpack::zone& zone) {
-  BOOST_OUTCOME_TRY(object,
-                    UnpackAt(datagram, offset, zone));
+  BOOST_OUTCOME_TRY(object, UnpackAt(datagram, offset, zone));
   if (offset != datagram.size())
     return Error{ResultCode::kGarbage, "bytes after the message"};
   return object;
@@ -60,20 +60,19 @@
     return Error{ResultCode::kOversized, "larger than a datagram may be"};
   msgpack::zone zone;
   size_t offset = 0;
-  BOOST_OUTCOME_TRY(object,
-                    UnpackAt(datagram, offset, zone));
+  BOOST_OUTCOME_TRY(object, UnpackAt(datagram, offset, zone));
   constexpr uint32_t kFields = 2;
   if (object.type != msgpack::type::ARRAY || object.via.array.size < kFields)
     return Error{ResultCode::kGarbage, "no header"};
   const msgpack::object& version = object.via.array.ptr[0];
   const msgpack::object& type = object.via.array.ptr[1];
   if (version.type != msgpack::type::POSITIVE_INTEGER ||
-      type.type != msgpack::type::POSITIVE_INTEGER ||
-      type.via.u64 > UINT8_MAX)
+      type.type != msgpack::type::POSITIVE_INTEGER || type.via.u64 > UINT8_MAX)
     return Error{ResultCode::kGarbage, "no header"};
   if (version.via.u64 != kProtocolVersion)
     return Error{ResultCode::kUnknownVersion, "another protocol version"};
-  return Header{kProtocolVersion, static_cast<MessageType>(type.via.u64), offset};
+  return Header{kProtocolVersion, static_cast<MessageType>(type.via.u64),
+                offset};
 }
 
 }  // namespace cuminvane
--- a/src/core/message_func.h
+++ b/src/core/message_func.h
@@ -1,4 +1,5 @@
-/** @file message_func.h Encodes and decodes datagrams: a header, then one message. */
+/** @file message_func.h Encodes and decodes datagrams: a header, then one
+ * message. */
 
 #ifndef CUMINVANE_CORE_MESSAGE_FUNC_H_
 #define CUMINVANE_CORE_MESSAGE_FUNC_H_
@@ -32,7 +33,9 @@
 void PackHeader(msgpack::sbuffer& buffer, MessageType type);
 
 /** Unpacks the object at `offset`; nothing is copied out of the datagram. */
-Result<msgpack::object> UnpackBody(std::string_view datagram, size_t offset, msgpack::zone& zone);
+Result<msgpack::object> UnpackBody(std::string_view datagram,
+                                   size_t offset,
+                                   msgpack::zone& zone);
 
 }  // namespace internal
 
@@ -49,18 +52,19 @@
 }
 
 /**
- * Decodes the message behind a header; missing trailing fields keep their defaults, further ones are ignored.
+ * Decodes the message behind a header; missing trailing fields keep their
+ * defaults, further ones are ignored.
  * @param datagram The datagram; blobs of the message refer to it.
  * @param header Its header.
- * @return The message; kTruncated, kGarbage, or kUnexpectedType where the header names another type.
+ * @return The message; kTruncated, kGarbage, or kUnexpectedType where the
+ * header names another type.
  */
 template <class Message>
 Result<Message> Decode(std::string_view datagram, const Header& header) {
   if (header.type != Message::kType)
     return Error{ResultCode::kUnexpectedType, "another message type"};
   msgpack::zone zone;
-  BOOST_OUTCOME_TRY(object,
-                    internal::UnpackBody(datagram, header.body, zone));
+  BOOST_OUTCOME_TRY(object, internal::UnpackBody(datagram, header.body, zone));
   try {
     return object.as<Message>();
   } catch (const msgpack::type_error&) {
--- a/src/core/message_type.h
+++ b/src/core/message_type.h
@@ -1,4 +1,5 @@
-/** @file message_type.h Every message that processes exchange by datagram; fields are only ever appended. */
+/** @file message_type.h Every message that processes exchange by datagram;
+ * fields are only ever appended. */
 
 #ifndef CUMINVANE_CORE_MESSAGE_TYPE_H_
 #define CUMINVANE_CORE_MESSAGE_TYPE_H_
@@ -21,7 +22,8 @@
 /** Bytes an open message is padded to, so that its answer is never larger. */
 inline constexpr size_t kOpenPadding = 192;
 
-/** Opaque bytes inside a datagram; refers to the datagram, which must outlive it. */
+/** Opaque bytes inside a datagram; refers to the datagram, which must outlive
+ * it. */
 using Blob = msgpack::type::raw_ref;
 
 /** @return The bytes as a blob; the text must outlive it. */
@@ -71,7 +73,8 @@
   kFabricPacket = 80,
 };
 
-/** Which balancer holds a request's record, so that a caller can be sent back to it. */
+/** Which balancer holds a request's record, so that a caller can be sent back
+ * to it. */
 struct Holder {
   VmId vm;
   Incarnation incarnation;
@@ -97,15 +100,23 @@
   Blob token;
   RequestNumber number;
   ClassId work_class;
-  int64_t deadline = 0;  ///< Microseconds since the epoch; the same in every attempt.
+  int64_t deadline =
+      0;  ///< Microseconds since the epoch; the same in every attempt.
   uint32_t attempt = 0;  ///< Counts from 0.
   Blob payload;
 
   bool operator==(const Request&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, token, number.value, work_class.value, deadline, attempt, payload)
+  MSGPACK_DEFINE_ARRAY(flow.value,
+                       token,
+                       number.value,
+                       work_class.value,
+                       deadline,
+                       attempt,
+                       payload)
 };
 
-/** A caller asks for parts it lacks; an empty list asks how the request stands. */
+/** A caller asks for parts it lacks; an empty list asks how the request stands.
+ */
 struct NeedParts {
   static constexpr MessageType kType = MessageType::kNeedParts;
   FlowId flow;
@@ -116,7 +127,12 @@
   std::vector<uint32_t> missing;
 
   bool operator==(const NeedParts&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, token, number.value, run.value, holder, missing)
+  MSGPACK_DEFINE_ARRAY(flow.value,
+                       token,
+                       number.value,
+                       run.value,
+                       holder,
+                       missing)
 };
 
 /** A caller has the whole answer; its stored parts may go. */
@@ -143,7 +159,8 @@
   MSGPACK_DEFINE_ARRAY(flow.value, token, number.value, holder)
 };
 
-/** A caller whose owner is lost asks for another; numbers up to `highest` stay with the lost one. */
+/** A caller whose owner is lost asks for another; numbers up to `highest` stay
+ * with the lost one. */
 struct Reopen {
   static constexpr MessageType kType = MessageType::kReopen;
   FlowId flow;
@@ -164,7 +181,7 @@
   Blob token;
   int64_t server_time = 0;  ///< Microseconds since the epoch.
   uint16_t code = 0;        ///< A ResultCode; the flow is open only with kOk.
-  RequestNumber fence;      ///< As in the token: the next number must be above it.
+  RequestNumber fence;  ///< As in the token: the next number must be above it.
 
   bool operator==(const Opened&) const = default;
   MSGPACK_DEFINE_ARRAY(nonce, flow.value, token, server_time, code, fence.value)
@@ -182,7 +199,13 @@
   Blob payload;
 
   bool operator==(const Part&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, number.value, run.value, holder, index, count, payload)
+  MSGPACK_DEFINE_ARRAY(flow.value,
+                       number.value,
+                       run.value,
+                       holder,
+                       index,
+                       count,
+                       payload)
 };
 
 /** How a request ended without an answer. */
@@ -190,8 +213,8 @@
   static constexpr MessageType kType = MessageType::kVerdict;
   FlowId flow;
   RequestNumber number;
-  uint16_t code = 0;    ///< A ResultCode.
-  Blob token;           ///< For kMoved: the token to use from now on; else empty.
+  uint16_t code = 0;  ///< A ResultCode.
+  Blob token;         ///< For kMoved: the token to use from now on; else empty.
   RequestNumber fence;  ///< For kMoved: as in the token.
 
   bool operator==(const Verdict&) const = default;
@@ -221,7 +244,8 @@
   MSGPACK_DEFINE_ARRAY(slots, busy, queued, draining, incarnation.value)
 };
 
-/** A balancer has a backend server run a request; a run id is run at most once. */
+/** A balancer has a backend server run a request; a run id is run at most once.
+ */
 struct Run {
   static constexpr MessageType kType = MessageType::kRun;
   RunId run;
@@ -229,25 +253,35 @@
   FlowId flow;
   RequestNumber number;
   ClassId work_class;
-  int64_t deadline = 0;  ///< Not started after it; microseconds since the epoch.
+  int64_t deadline =
+      0;  ///< Not started after it; microseconds since the epoch.
   Blob payload;
 
   bool operator==(const Run&) const = default;
-  MSGPACK_DEFINE_ARRAY(run.value, incarnation.value, flow.value, number.value, work_class.value, deadline, payload)
+  MSGPACK_DEFINE_ARRAY(run.value,
+                       incarnation.value,
+                       flow.value,
+                       number.value,
+                       work_class.value,
+                       deadline,
+                       payload)
 };
 
-/** A balancer withdraws a run; one that has not started never starts, even if it arrives later. */
+/** A balancer withdraws a run; one that has not started never starts, even if
+ * it arrives later. */
 struct CancelRun {
   static constexpr MessageType kType = MessageType::kCancelRun;
   RunId run;
   Incarnation incarnation;  ///< Of the backend server the run was sent to.
-  int64_t deadline = 0;     ///< Of the run; until then the withdrawal is remembered.
+  int64_t deadline =
+      0;  ///< Of the run; until then the withdrawal is remembered.
 
   bool operator==(const CancelRun&) const = default;
   MSGPACK_DEFINE_ARRAY(run.value, incarnation.value, deadline)
 };
 
-/** A balancer asks for parts of an answer again; an empty list asks how the run stands. */
+/** A balancer asks for parts of an answer again; an empty list asks how the run
+ * stands. */
 struct NeedRunParts {
   static constexpr MessageType kType = MessageType::kNeedRunParts;
   RunId run;
@@ -312,7 +346,8 @@
   MSGPACK_DEFINE_ARRAY(run.value, started, load)
 };
 
-/** A backend server knows nothing of a run: it was sent to an earlier incarnation, or is long over. */
+/** A backend server knows nothing of a run: it was sent to an earlier
+ * incarnation, or is long over. */
 struct RunLost {
   static constexpr MessageType kType = MessageType::kRunLost;
   RunId run;
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -1,4 +1,5 @@
-/** @file node_base.h The decision core of one balancer: everything that arrives goes in here, everything to send comes out. */
+/** @file node_base.h The decision core of one balancer: everything that arrives
+ * goes in here, everything to send comes out. */
 
 #ifndef CUMINVANE_CORE_NODE_BASE_H_
 #define CUMINVANE_CORE_NODE_BASE_H_
@@ -29,17 +30,31 @@
   void Sync(const VmList& list, const Config& config, TimePoint now) {
     this->table.With([&](Table& table) { table.Sync(list, config, now); });
   }
-  Result<Target> ForFlow(ServiceId service, TimePoint now, RandomEngine& random) {
-    return this->table.With([&](Table& table) { return table.ForFlow(service, now, random); });
-  }
-  Result<Target> ForRequest(ServiceId service, const Holder& preferred, FlowId flow, TimePoint now) {
-    return this->table.With([&](Table& table) { return table.ForRequest(service, preferred, flow, now); });
+  Result<Target> ForFlow(ServiceId service,
+                         TimePoint now,
+                         RandomEngine& random) {
+    return this->table.With(
+        [&](Table& table) { return table.ForFlow(service, now, random); });
+  }
+  Result<Target> ForRequest(ServiceId service,
+                            const Holder& preferred,
+                            FlowId flow,
+                            TimePoint now) {
+    return this->table.With([&](Table& table) {
+      return table.ForRequest(service, preferred, flow, now);
+    });
   }
-  Result<Target> ForRetry(ServiceId service, VmId refuser, TimePoint now, RandomEngine& random) {
-    return this->table.With([&](Table& table) { return table.ForRetry(service, refuser, now, random); });
+  Result<Target> ForRetry(ServiceId service,
+                          VmId refuser,
+                          TimePoint now,
+                          RandomEngine& random) {
+    return this->table.With([&](Table& table) {
+      return table.ForRetry(service, refuser, now, random);
+    });
   }
   Endpoint AddressOf(VmId vm) const {
-    return this->table.With([&](const Table& table) { return table.AddressOf(vm); });
+    return this->table.With(
+        [&](const Table& table) { return table.AddressOf(vm); });
   }
   void OnSent(VmId vm) {
     this->table.With([&](Table& table) { table.OnSent(vm); });
@@ -52,7 +67,8 @@
   }
   /** @return A copy of what is known, for status. */
   std::map<VmId, BackendState> Backends() const {
-    return this->table.With([](const Table& table) { return table.Backends(); });
+    return this->table.With(
+        [](const Table& table) { return table.Backends(); });
   }
 
  private:
@@ -71,8 +87,9 @@
 /**
  * One balancer's decisions.
  *
- * Any thread may call in; what it must touch is behind its own lock: each shard, the placement, the membership and
- * each document. `Output` and the random engine belong to the calling thread.
+ * Any thread may call in; what it must touch is behind its own lock: each
+ * shard, the placement, the membership and each document. `Output` and the
+ * random engine belong to the calling thread.
  *
  * @tparam Mutex Lock of every part; NoMutex where one thread does everything.
  * @tparam Policy How flows are spread over backend servers.
@@ -87,8 +104,11 @@
   explicit Node(const Settings& settings)
       : settings(settings), members(MakeSelf(settings), settings.membership) {
     for (int index = 0; index < settings.shards; ++index)
-      this->shards.emplace_back(static_cast<uint8_t>(index), settings.requests, this->placement);
-    this->board.Write(&BoardView::self, std::make_shared<const SelfState>(SelfState{SelfHolder(settings), false, false, {}}),
+      this->shards.emplace_back(static_cast<uint8_t>(index), settings.requests,
+                                this->placement);
+    this->board.Write(&BoardView::self,
+                      std::make_shared<const SelfState>(
+                          SelfState{SelfHolder(settings), false, false, {}}),
                       BoardSource::kOperator, TimePoint{});
   }
 
@@ -100,18 +120,26 @@
    * @param random The calling thread's engine.
    * @param out Receives what to do.
    */
-  void OnFabric(TimePoint now, const Endpoint& from, std::string_view bytes, RandomEngine& random, Output& out) {
+  void OnFabric(TimePoint now,
+                const Endpoint& from,
+                std::string_view bytes,
+                RandomEngine& random,
+                Output& out) {
     const Result<FabricPacket> packet = DecodeAs<FabricPacket>(bytes);
     if (!packet) {
       this->Drop(packet.error().code, "fabric", out);
       return;
     }
     const CallerPath path{packet.value().caller, packet.value().service, from};
-    this->OnCallerPacket(now, path, View(packet.value().packet), false, random, out);
+    this->OnCallerPacket(now, path, View(packet.value().packet), false, random,
+                         out);
   }
 
   /** Handles a datagram from a backend server; parameters as for OnFabric. */
-  void OnBackend(TimePoint now, std::string_view bytes, RandomEngine& random, Output& out) {
+  void OnBackend(TimePoint now,
+                 std::string_view bytes,
+                 RandomEngine& random,
+                 Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
       this->Drop(header.error().code, "backend", out);
@@ -119,19 +147,24 @@
     }
     switch (header.value().type) {
       case MessageType::kAccepted:
-        this->ForRun<Accepted>(now, bytes, header.value(), &NodeShard::OnAccepted, random, out);
+        this->ForRun<Accepted>(now, bytes, header.value(),
+                               &NodeShard::OnAccepted, random, out);
         break;
       case MessageType::kRunPart:
-        this->ForRun<RunPart>(now, bytes, header.value(), &NodeShard::OnRunPart, random, out);
+        this->ForRun<RunPart>(now, bytes, header.value(), &NodeShard::OnRunPart,
+                              random, out);
         break;
       case MessageType::kRefused:
-        this->ForRun<Refused>(now, bytes, header.value(), &NodeShard::OnRefused, random, out);
+        this->ForRun<Refused>(now, bytes, header.value(), &NodeShard::OnRefused,
+                              random, out);
         break;
       case MessageType::kCancelReply:
-        this->ForRun<CancelReply>(now, bytes, header.value(), &NodeShard::OnCancelReply, random, out);
+        this->ForRun<CancelReply>(now, bytes, header.value(),
+                                  &NodeShard::OnCancelReply, random, out);
         break;
       case MessageType::kRunLost:
-        this->ForRun<RunLost>(now, bytes, header.value(), &NodeShard::OnRunLost, random, out);
+        this->ForRun<RunLost>(now, bytes, header.value(), &NodeShard::OnRunLost,
+                              random, out);
         break;
       default:
         this->Drop(ResultCode::kUnexpectedType, "backend", out);
@@ -140,7 +173,11 @@
   }
 
   /** Handles a datagram from another balancer; parameters as for OnFabric. */
-  void OnPeer(TimePoint now, const Endpoint& from, std::string_view bytes, RandomEngine& random, Output& out) {
+  void OnPeer(TimePoint now,
+              const Endpoint& from,
+              std::string_view bytes,
+              RandomEngine& random,
+              Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
       this->Drop(header.error().code, "peer", out);
@@ -170,19 +207,28 @@
    * Takes a document that was read from the platform.
    * @return As DocumentStore::Offer.
    */
-  Result<void> OfferDocument(TimePoint now, DocumentKind kind, std::string_view text, RandomEngine& random, Output& out) {
+  Result<void> OfferDocument(TimePoint now,
+                             DocumentKind kind,
+                             std::string_view text,
+                             RandomEngine& random,
+                             Output& out) {
     const std::vector<Endpoint> peers = this->PeerEndpoints();
-    const Result<void> taken =
-        kind == DocumentKind::kConfig
-            ? this->config.With([&](auto& store) { return store.Offer(text, peers, random, out); })
-            : this->vms.With([&](auto& store) { return store.Offer(text, peers, random, out); });
+    Result<void> taken = kind == DocumentKind::kConfig
+                             ? this->config.With([&](auto& store) {
+                                 return store.Offer(text, peers, random, out);
+                               })
+                             : this->vms.With([&](auto& store) {
+                                 return store.Offer(text, peers, random, out);
+                               });
     this->PublishDocuments(now);
     return taken;
   }
 
-  /** Does what is due: probes, timers, planned changes. Call every few milliseconds. */
+  /** Does what is due: probes, timers, planned changes. Call every few
+   * milliseconds. */
   void Tick(TimePoint now, RandomEngine& random, Output& out) {
-    this->members.With([&](MemberTable& table) { table.Tick(now, random, out); });
+    this->members.With(
+        [&](MemberTable& table) { table.Tick(now, random, out); });
     this->PublishMembers(now);
     this->config.With([&](auto& store) { store.Tick(now, out); });
     this->vms.With([&](auto& store) { store.Tick(now, out); });
@@ -194,10 +240,13 @@
       shard.With([&](NodeShard& part) { part.Tick(call); });
   }
 
-  /** Begins the graceful shutdown: takes no new non-idempotent work, tells the peers. */
+  /** Begins the graceful shutdown: takes no new non-idempotent work, tells the
+   * peers. */
   void BeginStop(TimePoint now, Output& out) {
     this->board.Update(
-        &BoardView::self, [](const BoardView&, SelfState& self) { self.stopping = true; }, BoardSource::kOperator, now);
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.stopping = true; },
+        BoardSource::kOperator, now);
     this->members.With([&](MemberTable& table) { table.Leave(out); });
   }
 
@@ -212,11 +261,13 @@
     const Vm* const vm = FindVm(*view->vms.value, view->self.value->id.vm);
     if (vm == nullptr)
       return false;
-    const PlannedChange* const change = FindChange(*view->config.value, *vm, now);
+    const PlannedChange* const change =
+        FindChange(*view->config.value, *vm, now);
     return change != nullptr && change->kind == ChangeKind::kStop;
   }
 
-  /** @return Whether this member is one of the few that watch the platform for its data centre. */
+  /** @return Whether this member is one of the few that watch the platform for
+   * its data centre. */
   bool ShouldWatch(DocumentKind kind) const {
     const auto view = this->board.Read();
     const auto key = static_cast<uint64_t>(kind);
@@ -224,17 +275,20 @@
     const uint64_t own_centre = MakeSelf(this->settings).data_centre;
     size_t ahead = 0;
     for (const MemberInfo& member : view->members.value->members) {
-      const bool counts = member.State() == MemberState::kAlive && member.data_centre == own_centre;
+      const bool counts = member.State() == MemberState::kAlive &&
+                          member.data_centre == own_centre;
       if (counts && RendezvousScore(key, member.id.vm.value) > own)
         ++ahead;
     }
     return ahead < kWatchersPerDataCentre;
   }
 
-  /** @return Whether both documents are in force, so that callers can be served. */
+  /** @return Whether both documents are in force, so that callers can be
+   * served. */
   bool IsReady() const {
     const auto view = this->board.Read();
-    return view->config.source != BoardSource::kNone && view->vms.source != BoardSource::kNone;
+    return view->config.source != BoardSource::kNone &&
+           view->vms.source != BoardSource::kNone;
   }
 
   /** @return How full the node is. */
@@ -251,9 +305,13 @@
   }
 
   /** @return Every belief of this balancer. */
-  std::shared_ptr<const BoardView> Beliefs() const { return this->board.Read(); }
+  std::shared_ptr<const BoardView> Beliefs() const {
+    return this->board.Read();
+  }
   /** @return What is known of the backend servers. */
-  std::map<VmId, BackendState> Backends() const { return this->placement.Backends(); }
+  std::map<VmId, BackendState> Backends() const {
+    return this->placement.Backends();
+  }
 
  private:
   static constexpr size_t kWatchersPerDataCentre = 3;
@@ -262,15 +320,18 @@
   static constexpr Milliseconds kWaitAfterPeer{300};
   static constexpr Milliseconds kWaitForPeers{1000};
 
-  static Holder SelfHolder(const Settings& settings) { return {settings.id, settings.incarnation}; }
+  static Holder SelfHolder(const Settings& settings) {
+    return {settings.id, settings.incarnation};
+  }
 
   static MemberInfo MakeSelf(const Settings& settings) {
-    return {SelfHolder(settings),
-            0,
-            static_cast<uint8_t>(MemberState::kAlive),
-            settings.peer,
-            XXH3_64bits(settings.data_centre.data(), settings.data_centre.size()),
-            0};
+    return {
+        SelfHolder(settings),
+        0,
+        static_cast<uint8_t>(MemberState::kAlive),
+        settings.peer,
+        XXH3_64bits(settings.data_centre.data(), settings.data_centre.size()),
+        0};
   }
 
   template <class Message>
@@ -280,7 +341,8 @@
   }
 
   Guarded<NodeShard, Mutex>& ShardOf(FlowId flow) {
-    return this->shards[XXH3_64bits(&flow.value, sizeof(flow.value)) % this->shards.size()];
+    return this->shards[XXH3_64bits(&flow.value, sizeof(flow.value)) %
+                        this->shards.size()];
   }
 
   void Drop(ResultCode code, const char* lane, Output& out) {
@@ -293,7 +355,11 @@
     out.decisions.push_back(decision);
   }
 
-  void LogRoute(const char* event, FlowId flow, RequestNumber number, const Route& route, Output& out) {
+  void LogRoute(const char* event,
+                FlowId flow,
+                RequestNumber number,
+                const Route& route,
+                Output& out) {
     Decision decision;
     decision.topic = Topic::kRouting;
     decision.event = event;
@@ -306,7 +372,12 @@
   }
 
   /** Handles a caller's packet, from the fabric or from a peer. */
-  void OnCallerPacket(TimePoint now, const CallerPath& path, std::string_view bytes, bool relayed, RandomEngine& random, Output& out) {
+  void OnCallerPacket(TimePoint now,
+                      const CallerPath& path,
+                      std::string_view bytes,
+                      bool relayed,
+                      RandomEngine& random,
+                      Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
       this->Drop(header.error().code, "caller", out);
@@ -330,17 +401,22 @@
         this->OnRequest(call, arrival);
         break;
       case MessageType::kNeedParts:
-        this->ToHolder<NeedParts>(call, arrival, [&](NodeShard& shard, const NeedParts& message) {
-          shard.OnNeedParts(call, path, message);
-        });
+        this->ToHolder<NeedParts>(
+            call, arrival, [&](NodeShard& shard, const NeedParts& message) {
+              shard.OnNeedParts(call, path, message);
+            });
         break;
       case MessageType::kDone:
-        this->ToHolder<Done>(call, arrival, [](NodeShard& shard, const Done& message) { shard.OnDone(message); });
+        this->ToHolder<Done>(call, arrival,
+                             [](NodeShard& shard, const Done& message) {
+                               shard.OnDone(message);
+                             });
         break;
       case MessageType::kCancel:
-        this->ToHolder<Cancel>(call, arrival, [&](NodeShard& shard, const Cancel& message) {
-          shard.OnCancel(call, path, message);
-        });
+        this->ToHolder<Cancel>(call, arrival,
+                               [&](NodeShard& shard, const Cancel& message) {
+                                 shard.OnCancel(call, path, message);
+                               });
         break;
       default:
         this->Drop(ResultCode::kUnexpectedType, "caller", out);
@@ -362,14 +438,17 @@
       this->Drop(open.error().code, "open", call.out);
       return;
     }
-    const Service* const service = FindService(*call.board.config.value, arrival.path.service);
+    const Service* const service =
+        FindService(*call.board.config.value, arrival.path.service);
     if (service == nullptr) {
       this->Drop(ResultCode::kUnknownService, "open", call.out);
       return;
     }
-    const Result<Target> target = this->placement.ForFlow(service->id, call.now, call.random);
+    const Result<Target> target =
+        this->placement.ForFlow(service->id, call.now, call.random);
     if (!target) {
-      this->AnswerOpen(call, arrival, open.value().nonce, FlowToken{}, target.error().code);
+      this->AnswerOpen(call, arrival, open.value().nonce, FlowToken{},
+                       target.error().code);
       return;
     }
     FlowToken token;
@@ -391,22 +470,32 @@
   /** A stopping balancer gives its flows to another one. */
   static Holder OwnerForNewToken(const ShardCall& call, FlowId flow) {
     const SelfState& self = *call.board.self.value;
-    const Holder successor = self.stopping ? SuccessorOf(*call.board.members.value, flow) : Holder{};
+    const Holder successor =
+        self.stopping ? SuccessorOf(*call.board.members.value, flow) : Holder{};
     return successor == Holder{} ? self.id : successor;
   }
 
-  void AnswerOpen(const ShardCall& call, const Arrival& arrival, uint64_t nonce, FlowToken token, ResultCode code) {
+  void AnswerOpen(const ShardCall& call,
+                  const Arrival& arrival,
+                  uint64_t nonce,
+                  FlowToken token,
+                  ResultCode code) {
     token.key = call.board.self.value->issue_key;
     std::string sealed;
     if (code == ResultCode::kOk) {
-      Result<std::string> sealing = SealToken(token, call.board.config.value->keys);
+      Result<std::string> sealing =
+          SealToken(token, call.board.config.value->keys);
       if (!sealing) {
         this->Drop(sealing.error().code, "open", call.out);
         return;
       }
       sealed = std::move(sealing).value();
     }
-    const Opened opened{nonce,          token.flow, MakeBlob(sealed), ToWire(call.now), static_cast<uint16_t>(code),
+    const Opened opened{nonce,
+                        token.flow,
+                        MakeBlob(sealed),
+                        ToWire(call.now),
+                        static_cast<uint16_t>(code),
                         token.fence};
     const std::string reply = Encode(opened);
     // The sender is not verified, so it never gets back more than it sent.
@@ -423,28 +512,36 @@
       this->Drop(reopen.error().code, "reopen", call.out);
       return;
     }
-    const Result<FlowToken> known = this->Verify(call, arrival, reopen.value().flow, RequestNumber{}, reopen.value().token);
+    const Result<FlowToken> known =
+        this->Verify(call, arrival, reopen.value().flow, RequestNumber{},
+                     reopen.value().token);
     if (!known)
       return;
     FlowToken token = known.value();
     token.owner = this->OwnerForNewToken(call, token.flow);
     token.fence = std::max(token.fence, reopen.value().highest);
-    this->LogRoute("reopen", token.flow, token.fence, {RouteKind::kLocal, ResultCode::kOk, token.owner.vm, {}, "owner_lost"},
-                   call.out);
-    this->AnswerOpen(call, arrival, reopen.value().nonce, token, ResultCode::kOk);
+    this->LogRoute(
+        "reopen", token.flow, token.fence,
+        {RouteKind::kLocal, ResultCode::kOk, token.owner.vm, {}, "owner_lost"},
+        call.out);
+    this->AnswerOpen(call, arrival, reopen.value().nonce, token,
+                     ResultCode::kOk);
   }
 
   void OnRequest(const ShardCall& call, const Arrival& arrival) {
-    const Result<Request> request = Decode<Request>(arrival.bytes, arrival.header);
+    const Result<Request> request =
+        Decode<Request>(arrival.bytes, arrival.header);
     if (!request) {
       this->Drop(request.error().code, "request", call.out);
       return;
     }
     const Request& message = request.value();
-    const Result<FlowToken> token = this->Verify(call, arrival, message.flow, message.number, message.token);
+    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
+                                                 message.number, message.token);
     if (!token)
       return;
-    const Route route = RouteRequest(call.board, token.value(), message.work_class, arrival.relayed);
+    const Route route = RouteRequest(call.board, token.value(),
+                                     message.work_class, arrival.relayed);
     this->LogRoute("request", message.flow, message.number, route, call.out);
     if (route.kind != RouteKind::kLocal) {
       this->FollowRoute(route, arrival, message.flow, message.number, call.out);
@@ -458,54 +555,76 @@
   /** Handles a message about a request that one balancer holds. */
   template <class Message, class Handle>
   void ToHolder(const ShardCall& call, const Arrival& arrival, Handle handle) {
-    const Result<Message> message = Decode<Message>(arrival.bytes, arrival.header);
+    const Result<Message> message =
+        Decode<Message>(arrival.bytes, arrival.header);
     if (!message) {
       this->Drop(message.error().code, "caller", call.out);
       return;
     }
     const Message& body = message.value();
-    const Result<FlowToken> token = this->Verify(call, arrival, body.flow, body.number, body.token);
+    const Result<FlowToken> token =
+        this->Verify(call, arrival, body.flow, body.number, body.token);
     if (!token)
       return;
-    const Holder holder = body.holder == Holder{} ? token.value().owner : body.holder;
+    const Holder holder =
+        body.holder == Holder{} ? token.value().owner : body.holder;
     const Route route = RouteToHolder(call.board, holder, arrival.relayed);
     if (route.kind != RouteKind::kLocal) {
       this->FollowRoute(route, arrival, body.flow, body.number, call.out);
       return;
     }
-    this->ShardOf(body.flow).With([&](NodeShard& shard) { handle(shard, body); });
-  }
-
-  /** Checks the token; a packet with a bad one is counted, and its sender told in no more bytes than it sent. */
-  Result<FlowToken> Verify(const ShardCall& call, const Arrival& arrival, FlowId flow, RequestNumber number, const Blob& token) {
-    Result<FlowToken> checked = CheckToken(call.board, arrival.path.service, flow, token);
+    this->ShardOf(body.flow).With(
+        [&](NodeShard& shard) { handle(shard, body); });
+  }
+
+  /** Checks the token; a packet with a bad one is counted, and its sender told
+   * in no more bytes than it sent. */
+  Result<FlowToken> Verify(const ShardCall& call,
+                           const Arrival& arrival,
+                           FlowId flow,
+                           RequestNumber number,
+                           const Blob& token) {
+    Result<FlowToken> checked =
+        CheckToken(call.board, arrival.path.service, flow, token);
     if (checked)
       return checked;
     const ResultCode code = checked.error().code;
     this->Drop(code, "token", call.out);
-    const std::string reply = Encode(Verdict{flow, number, static_cast<uint16_t>(code), {}, {}});
+    const std::string reply =
+        Encode(Verdict{flow, number, static_cast<uint16_t>(code), {}, {}});
     if (reply.size() <= arrival.bytes.size())
       SendToCaller(arrival.path, reply, call.out);
     return checked;
   }
 
-  void FollowRoute(const Route& route, const Arrival& arrival, FlowId flow, RequestNumber number, Output& out) {
+  void FollowRoute(const Route& route,
+                   const Arrival& arrival,
+                   FlowId flow,
+                   RequestNumber number,
+                   Output& out) {
     if (route.kind == RouteKind::kRefuse) {
       SendVerdict(arrival.path, flow, number, route.code, out);
       return;
     }
-    const Relay relay{arrival.path.caller, arrival.path.service, arrival.path.fabric, MakeBlob(arrival.bytes)};
+    const Relay relay{arrival.path.caller, arrival.path.service,
+                      arrival.path.fabric, MakeBlob(arrival.bytes)};
     out.datagrams.push_back({Lane::kPeer, route.peer_address, Encode(relay)});
   }
 
-  void OnRelay(TimePoint now, std::string_view bytes, const Header& header, RandomEngine& random, Output& out) {
+  void OnRelay(TimePoint now,
+               std::string_view bytes,
+               const Header& header,
+               RandomEngine& random,
+               Output& out) {
     const Result<Relay> relay = Decode<Relay>(bytes, header);
     if (!relay) {
       this->Drop(relay.error().code, "peer", out);
       return;
     }
-    const CallerPath path{relay.value().caller, relay.value().service, relay.value().fabric};
-    this->OnCallerPacket(now, path, View(relay.value().packet), true, random, out);
+    const CallerPath path{relay.value().caller, relay.value().service,
+                          relay.value().fabric};
+    this->OnCallerPacket(now, path, View(relay.value().packet), true, random,
+                         out);
   }
 
   template <class Message>
@@ -527,17 +646,24 @@
     }
     const auto view = this->board.Read();
     const ShardCall call{now, *view, random, out};
-    this->shards[index].With([&](NodeShard& shard) { (shard.*handle)(call, message.value()); });
+    this->shards[index].With(
+        [&](NodeShard& shard) { (shard.*handle)(call, message.value()); });
   }
 
-  void OnMembership(TimePoint now, const Endpoint& from, std::string_view bytes, const Header& header, Output& out) {
+  void OnMembership(TimePoint now,
+                    const Endpoint& from,
+                    std::string_view bytes,
+                    const Header& header,
+                    Output& out) {
     if (header.type == MessageType::kPing) {
       const Result<Ping> ping = Decode<Ping>(bytes, header);
       if (!ping) {
         this->Drop(ping.error().code, "peer", out);
         return;
       }
-      this->members.With([&](MemberTable& table) { table.OnPing(now, from, ping.value(), out); });
+      this->members.With([&](MemberTable& table) {
+        table.OnPing(now, from, ping.value(), out);
+      });
       this->OnPeerVersions(now, from, ping.value().versions, out);
     } else if (header.type == MessageType::kAck) {
       const Result<Ack> ack = Decode<Ack>(bytes, header);
@@ -545,7 +671,8 @@
         this->Drop(ack.error().code, "peer", out);
         return;
       }
-      this->members.With([&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
+      this->members.With(
+          [&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
       this->OnPeerVersions(now, from, ack.value().versions, out);
     } else {
       const Result<PingRequest> request = Decode<PingRequest>(bytes, header);
@@ -553,34 +680,53 @@
         this->Drop(request.error().code, "peer", out);
         return;
       }
-      this->members.With([&](MemberTable& table) { table.OnPingRequest(now, from, request.value(), out); });
+      this->members.With([&](MemberTable& table) {
+        table.OnPingRequest(now, from, request.value(), out);
+      });
     }
     this->PublishMembers(now);
   }
 
-  void OnPeerVersions(TimePoint now, const Endpoint& from, const DocumentVersions& versions, Output& out) {
-    this->config.With([&](auto& store) { store.OnPeerStamp(now, from, versions.config, out); });
-    this->vms.With([&](auto& store) { store.OnPeerStamp(now, from, versions.vms, out); });
+  void OnPeerVersions(TimePoint now,
+                      const Endpoint& from,
+                      const DocumentVersions& versions,
+                      Output& out) {
+    this->config.With([&](auto& store) {
+      store.OnPeerStamp(now, from, versions.config, out);
+    });
+    this->vms.With(
+        [&](auto& store) { store.OnPeerStamp(now, from, versions.vms, out); });
   }
 
-  void OnDocument(TimePoint now, const Endpoint& from, std::string_view bytes, const Header& header, RandomEngine& random, Output& out) {
+  void OnDocument(TimePoint now,
+                  const Endpoint& from,
+                  std::string_view bytes,
+                  const Header& header,
+                  RandomEngine& random,
+                  Output& out) {
     const std::vector<Endpoint> peers = this->PeerEndpoints();
     bool decoded = false;
     if (header.type == MessageType::kDocumentDelta) {
       const Result<DocumentDelta> delta = Decode<DocumentDelta>(bytes, header);
       decoded = delta.has_value();
       if (decoded)
-        this->WithDocument(delta.value().kind, [&](auto& store) { store.OnDelta(from, delta.value(), peers, random, out); });
+        this->WithDocument(delta.value().kind, [&](auto& store) {
+          store.OnDelta(from, delta.value(), peers, random, out);
+        });
     } else if (header.type == MessageType::kDocumentPull) {
       const Result<DocumentPull> pull = Decode<DocumentPull>(bytes, header);
       decoded = pull.has_value();
       if (decoded)
-        this->WithDocument(pull.value().kind, [&](auto& store) { store.OnPull(from, pull.value(), out); });
+        this->WithDocument(pull.value().kind, [&](auto& store) {
+          store.OnPull(from, pull.value(), out);
+        });
     } else {
       const Result<DocumentChunk> chunk = Decode<DocumentChunk>(bytes, header);
       decoded = chunk.has_value();
       if (decoded)
-        this->WithDocument(chunk.value().kind, [&](auto& store) { store.OnChunk(now, from, chunk.value(), peers, random, out); });
+        this->WithDocument(chunk.value().kind, [&](auto& store) {
+          store.OnChunk(now, from, chunk.value(), peers, random, out);
+        });
     }
     if (!decoded)
       this->Drop(ResultCode::kGarbage, "peer", out);
@@ -597,16 +743,20 @@
 
   std::vector<Endpoint> PeerEndpoints() const {
     std::vector<Endpoint> endpoints;
-    for (const MemberInfo& member : this->board.Read()->members.value->members) {
+    for (const MemberInfo& member :
+         this->board.Read()->members.value->members) {
       if (member.State() <= MemberState::kLeaving)
         endpoints.push_back(member.peer);
     }
     return endpoints;
   }
 
-  /** Writes a document to the board where it has changed; under its lock, so that no older one comes after. */
+  /** Writes a document to the board where it has changed; under its lock, so
+   * that no older one comes after. */
   template <class Store, class Value>
-  void PublishDocument(Store& store, BoardEntry<Value> BoardView::*entry, TimePoint now) {
+  void PublishDocument(Store& store,
+                       BoardEntry<Value> BoardView::*entry,
+                       TimePoint now) {
     const std::shared_ptr<const Value> current = store.Current();
     if (current == nullptr || current == ((*this->board.Read()).*entry).value)
       return;
@@ -644,8 +794,9 @@
       if (table.Changes() == this->published_changes)
         return false;
       this->published_changes = table.Changes();
-      this->board.Write(&BoardView::members, std::make_shared<const MemberView>(table.View()), BoardSource::kMembership,
-                        now);
+      this->board.Write(&BoardView::members,
+                        std::make_shared<const MemberView>(table.View()),
+                        BoardSource::kMembership, now);
       return true;
     });
     if (changed)
@@ -655,45 +806,58 @@
   void RefreshIssueKey(TimePoint now) {
     this->board.Update(
         &BoardView::self,
-        [](const BoardView& view, SelfState& self) { self.issue_key = IssueKey(*view.config.value, *view.members.value); },
+        [](const BoardView& view, SelfState& self) {
+          self.issue_key = IssueKey(*view.config.value, *view.members.value);
+        },
         BoardSource::kMembership, now);
   }
 
-  /** The newest key that every live member holds; an older member still to be heard of counts as holding none. */
+  /** The newest key that every member not known to be gone holds; one that
+   * never told is not waited for. */
   static KeyNumber IssueKey(const Config& config, const MemberView& members) {
     KeyNumber limit = NewestKey(config);
     for (const MemberInfo& member : members.members) {
-      if (member.State() <= MemberState::kLeaving && member.newest_key != 0)
+      if (member.State() <= MemberState::kSuspect && member.newest_key != 0)
         limit = std::min(limit, KeyNumber{member.newest_key});
     }
     const auto above = config.keys.upper_bound(limit);
-    return above == config.keys.begin() ? NewestKey(config) : std::prev(above)->first;
+    return above == config.keys.begin() ? NewestKey(config)
+                                        : std::prev(above)->first;
   }
 
-  /** Until it serves, it asks the first peers, and compares documents with whoever answers. */
+  /** Until it serves, it asks the first peers, and compares documents with
+   * whoever answers. */
   void TickStart(TimePoint now, Output& out) {
     const auto view = this->board.Read();
     if (view->self.value->serving)
       return;
     if (this->next_first_ping <= now) {
       this->next_first_ping = now + kFirstPingInterval;
-      this->members.With([&](MemberTable& table) { table.PingFirst(this->settings.first_peers, out); });
+      this->members.With([&](MemberTable& table) {
+        table.PingFirst(this->settings.first_peers, out);
+      });
     }
     if (!this->IsReady())
       return;
     this->ready_since = std::min(this->ready_since, now);
     const bool alone = view->members.value->members.empty();
-    const bool heard = this->members.With([](const MemberTable& table) { return table.HasHeard(); });
+    const bool heard = this->members.With(
+        [](const MemberTable& table) { return table.HasHeard(); });
     // A peer with newer documents says so in its heartbeat, and they come
     // within a few round trips.
-    const Milliseconds wait = alone ? Milliseconds(0) : heard ? kWaitAfterPeer : kWaitForPeers;
+    const Milliseconds wait = alone   ? Milliseconds(0)
+                              : heard ? kWaitAfterPeer
+                                      : kWaitForPeers;
     if (now < this->ready_since + wait)
       return;
     this->board.Update(
-        &BoardView::self, [](const BoardView&, SelfState& self) { self.serving = true; }, BoardSource::kOperator, now);
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.serving = true; },
+        BoardSource::kOperator, now);
   }
 
-  /** Planned changes begin by the clock, so placement is synchronized now and then, and at once after news. */
+  /** Planned changes begin by the clock, so placement is synchronized now and
+   * then, and at once after news. */
   void SyncPlacement(TimePoint now) {
     const bool due = this->placement_due.exchange(false);
     if (!due && now < this->next_placement_sync)
@@ -712,7 +876,8 @@
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
   uint64_t published_changes = 0;  ///< Under the lock of `members`.
   std::atomic<bool> placement_due = true;
-  TimePoint next_placement_sync;      ///< Only the thread that calls Tick touches these.
+  TimePoint
+      next_placement_sync;  ///< Only the thread that calls Tick touches these.
   TimePoint next_first_ping;
   TimePoint ready_since = kNever;
 };
--- a/src/core/output_type.h
+++ b/src/core/output_type.h
@@ -1,4 +1,5 @@
-/** @file output_type.h What a decision sends and logs; the shell carries it out and keeps the buffers. */
+/** @file output_type.h What a decision sends and logs; the shell carries it out
+ * and keeps the buffers. */
 
 #ifndef CUMINVANE_CORE_OUTPUT_TYPE_H_
 #define CUMINVANE_CORE_OUTPUT_TYPE_H_
--- a/src/core/placement_base.h
+++ b/src/core/placement_base.h
@@ -1,4 +1,5 @@
-/** @file placement_base.h Chooses backend servers from what this balancer saw itself, then from what they report. */
+/** @file placement_base.h Chooses backend servers from what this balancer saw
+ * itself, then from what they report. */
 
 #ifndef CUMINVANE_CORE_PLACEMENT_BASE_H_
 #define CUMINVANE_CORE_PLACEMENT_BASE_H_
@@ -29,20 +30,28 @@
       if (vm.role != VmRole::kBackend)
         continue;
       const auto known = this->backends.find(vm.id);
-      // The list lags: the backend server itself may have told a later incarnation.
-      const bool same = known != this->backends.end() && known->second.incarnation >= vm.incarnation;
-      BackendState state = same ? known->second : this->Newcomer(vm, first ? now : now + kWarmUp);
+      // The list lags: the backend server itself may have told a later
+      // incarnation.
+      const bool same = known != this->backends.end() &&
+                        known->second.incarnation >= vm.incarnation;
+      BackendState state =
+          same ? known->second
+               : this->Newcomer(vm, first ? now : now + kWarmUp);
       state.address = vm.address;
       state.service = vm.service;
-      state.leaving = vm.leaving || FindChange(config, vm, now) != nullptr || !IsServedFrom(config, vm);
+      state.leaving = vm.leaving || FindChange(config, vm, now) != nullptr ||
+                      !IsServedFrom(config, vm);
       next.emplace(vm.id, state);
     }
     this->backends = std::move(next);
   }
 
   /** @return A backend server for a new flow, or kNoBackend. */
-  Result<Target> ForFlow(ServiceId service, TimePoint now, RandomEngine& random) {
-    std::vector<BackendState*> candidates = this->Candidates(service, VmId{}, now);
+  Result<Target> ForFlow(ServiceId service,
+                         TimePoint now,
+                         RandomEngine& random) {
+    std::vector<BackendState*> candidates =
+        this->Candidates(service, VmId{}, now);
     if (candidates.empty())
       return Error{ResultCode::kNoBackend, "no backend server takes flows"};
     BackendState& chosen = *candidates[Policy::Pick(candidates, random)];
@@ -53,33 +62,50 @@
   /**
    * @param service The service of the flow.
    * @param preferred The backend server chosen when the flow opened.
-   * @param flow The flow; its requests stay together when the preferred one is gone.
+   * @param flow The flow; its requests stay together when the preferred one is
+   * gone.
    * @param now The present time.
    * @return A backend server for a request, or kNoBackend.
    */
-  Result<Target> ForRequest(ServiceId service, const Holder& preferred, FlowId flow, TimePoint now) {
+  Result<Target> ForRequest(ServiceId service,
+                            const Holder& preferred,
+                            FlowId flow,
+                            TimePoint now) {
     const auto known = this->backends.find(preferred.vm);
-    const bool usable = known != this->backends.end() && known->second.service == service &&
-                        TakesWork(known->second, now) && known->second.avoid_until <= now;
+    const bool usable =
+        known != this->backends.end() && known->second.service == service &&
+        TakesWork(known->second, now) && known->second.avoid_until <= now;
     if (usable)
       return MakeTarget(known->second, "flow");
-    const std::vector<BackendState*> candidates = this->Candidates(service, VmId{}, now);
+    const std::vector<BackendState*> candidates =
+        this->Candidates(service, VmId{}, now);
     if (candidates.empty())
       return Error{ResultCode::kNoBackend, "no backend server takes requests"};
-    return MakeTarget(**std::ranges::max_element(candidates, {}, [flow](const BackendState* state) {
-      return RendezvousScore(flow.value, state->vm.value);
-    }), "flow_moved");
+    return MakeTarget(**std::ranges::max_element(
+                          candidates, {},
+                          [flow](const BackendState* state) {
+                            return RendezvousScore(flow.value, state->vm.value);
+                          }),
+                      "flow_moved");
   }
 
-  /** @return Another backend server than `refuser` for a request that was not run, or kNoBackend. */
-  Result<Target> ForRetry(ServiceId service, VmId refuser, TimePoint now, RandomEngine& random) {
-    const std::vector<BackendState*> candidates = this->Candidates(service, refuser, now);
+  /** @return Another backend server than `refuser` for a request that was not
+   * run, or kNoBackend. */
+  Result<Target> ForRetry(ServiceId service,
+                          VmId refuser,
+                          TimePoint now,
+                          RandomEngine& random) {
+    const std::vector<BackendState*> candidates =
+        this->Candidates(service, refuser, now);
     if (candidates.empty())
-      return Error{ResultCode::kNoBackend, "no other backend server takes requests"};
-    return MakeTarget(*candidates[TwoChoices::Pick(candidates, random)], "retry");
+      return Error{ResultCode::kNoBackend,
+                   "no other backend server takes requests"};
+    return MakeTarget(*candidates[TwoChoices::Pick(candidates, random)],
+                      "retry");
   }
 
-  /** @return The address of a backend server, none where it is not known any more. */
+  /** @return The address of a backend server, none where it is not known any
+   * more. */
   Endpoint AddressOf(VmId vm) const {
     const auto known = this->backends.find(vm);
     return known == this->backends.end() ? Endpoint{} : known->second.address;
@@ -101,12 +127,14 @@
       return;
     ++state->silences;
     if (state->silences >= kSilencesToAvoid) {
-      const int doublings = std::min(state->silences - kSilencesToAvoid, kMostDoublings);
+      const int doublings =
+          std::min(state->silences - kSilencesToAvoid, kMostDoublings);
       state->avoid_until = now + kAvoidFirst * (1 << doublings);
     }
   }
 
-  /** Takes note of what a backend server says of itself; that it speaks at all clears its silences. */
+  /** Takes note of what a backend server says of itself; that it speaks at all
+   * clears its silences. */
   void OnReport(TimePoint now, VmId vm, const LoadReport& report) {
     BackendState* const state = this->Find(vm);
     if (state == nullptr)
@@ -123,7 +151,9 @@
   }
 
   /** @return All backend servers by VM. */
-  const std::map<VmId, BackendState>& Backends() const { return this->backends; }
+  const std::map<VmId, BackendState>& Backends() const {
+    return this->backends;
+  }
 
  private:
   /** Time in which a cold backend server's share grows to a full one. */
@@ -132,12 +162,15 @@
   static constexpr int kSilencesToAvoid = 2;
   static constexpr int kMostDoublings = 4;
   static constexpr Milliseconds kAvoidFirst{500};
-  /** A draining backend server gets no work and so can't tell that it has stopped draining; then it is tried again. */
+  /** A draining backend server gets no work and so can't tell that it has
+   * stopped draining; then it is tried again. */
   static constexpr Seconds kDrainBelief{10};
 
   static bool IsServedFrom(const Config& config, const Vm& vm) {
     const Service* const service = FindService(config, vm.service);
-    return service != nullptr && std::ranges::find(service->data_centres, vm.data_centre) != service->data_centres.end();
+    return service != nullptr &&
+           std::ranges::find(service->data_centres, vm.data_centre) !=
+               service->data_centres.end();
   }
 
   static bool TakesWork(const BackendState& state, TimePoint now) {
@@ -147,7 +180,8 @@
   static double Share(const BackendState& state, TimePoint now) {
     if (state.warm_at <= now)
       return 1;
-    const double left = std::chrono::duration<double>(state.warm_at - now) / std::chrono::duration<double>(kWarmUp);
+    const double left = std::chrono::duration<double>(state.warm_at - now) /
+                        std::chrono::duration<double>(kWarmUp);
     return std::max(kColdShare, 1 - left);
   }
 
@@ -155,7 +189,8 @@
     return {state.vm, state.incarnation, state.address, reason};
   }
 
-  /** A newcomer starts level with the others: counted from zero it would get every new flow. */
+  /** A newcomer starts level with the others: counted from zero it would get
+   * every new flow. */
   BackendState Newcomer(const Vm& vm, TimePoint warm_at) const {
     BackendState state;
     state.vm = vm.id;
@@ -173,8 +208,11 @@
     return state;
   }
 
-  /** Those that take work and answer; where none answers, those that take work. */
-  std::vector<BackendState*> Candidates(ServiceId service, VmId excluded, TimePoint now) {
+  /** Those that take work and answer; where none answers, those that take work.
+   */
+  std::vector<BackendState*> Candidates(ServiceId service,
+                                        VmId excluded,
+                                        TimePoint now) {
     std::vector<BackendState*> answering;
     std::vector<BackendState*> silent;
     for (auto& [vm, state] : this->backends) {
--- a/src/core/placement_type.h
+++ b/src/core/placement_type.h
@@ -1,4 +1,5 @@
-/** @file placement_type.h What placement knows of a backend server, and the policies that choose one. */
+/** @file placement_type.h What placement knows of a backend server, and the
+ * policies that choose one. */
 
 #ifndef CUMINVANE_CORE_PLACEMENT_TYPE_H_
 #define CUMINVANE_CORE_PLACEMENT_TYPE_H_
@@ -21,14 +22,14 @@
   Incarnation incarnation;
   Endpoint address;
   ServiceId service;
-  bool leaving = false;        ///< By the platform's list or a planned change.
-  TimePoint draining_until;    ///< It said that it drains; believed until then.
-  TimePoint avoid_until;       ///< It did not answer; left alone until then.
-  TimePoint warm_at;           ///< From then on it gets a full share.
-  double placed = 0;           ///< Flows placed here, counted higher while it is cold.
-  int outstanding = 0;         ///< Runs sent by this balancer and not ended.
-  int silences = 0;            ///< Runs in a row that it did not react to.
-  LoadReport report;           ///< What it last said of itself.
+  bool leaving = false;      ///< By the platform's list or a planned change.
+  TimePoint draining_until;  ///< It said that it drains; believed until then.
+  TimePoint avoid_until;     ///< It did not answer; left alone until then.
+  TimePoint warm_at;         ///< From then on it gets a full share.
+  double placed = 0;    ///< Flows placed here, counted higher while it is cold.
+  int outstanding = 0;  ///< Runs sent by this balancer and not ended.
+  int silences = 0;     ///< Runs in a row that it did not react to.
+  LoadReport report;    ///< What it last said of itself.
 
   bool operator==(const BackendState&) const = default;
 };
@@ -51,15 +52,18 @@
 };
 
 template <class P>
-concept PlacementPolicy = requires(std::span<BackendState* const> candidates, RandomEngine& random) {
+concept PlacementPolicy = requires(std::span<BackendState* const> candidates,
+                                   RandomEngine& random) {
   { P::Pick(candidates, random) } -> std::same_as<size_t>;
 };
 
 /** Takes the one with the fewest flows placed by this balancer. */
 struct LeastPlaced {
   /** @return Index of the choice; there must be a candidate. */
-  static size_t Pick(std::span<BackendState* const> candidates, RandomEngine& random) {
-    // Starting anywhere spreads ties, so that balancers do not all begin with the same one.
+  static size_t Pick(std::span<BackendState* const> candidates,
+                     RandomEngine& random) {
+    // Starting anywhere spreads ties, so that balancers do not all begin with
+    // the same one.
     const size_t start = DrawIndex(random, candidates.size());
     size_t best = start;
     for (size_t step = 1; step < candidates.size(); ++step) {
@@ -74,17 +78,21 @@
 /** Takes the one with fewer runs outstanding out of two at random. */
 struct TwoChoices {
   /** @return Index of the choice; there must be a candidate. */
-  static size_t Pick(std::span<BackendState* const> candidates, RandomEngine& random) {
+  static size_t Pick(std::span<BackendState* const> candidates,
+                     RandomEngine& random) {
     const size_t first = DrawIndex(random, candidates.size());
     const size_t second = DrawIndex(random, candidates.size());
-    return candidates[second]->outstanding < candidates[first]->outstanding ? second : first;
+    return candidates[second]->outstanding < candidates[first]->outstanding
+               ? second
+               : first;
   }
 };
 
 /** Takes any. */
 struct UniformRandom {
   /** @return Index of the choice; there must be a candidate. */
-  static size_t Pick(std::span<BackendState* const> candidates, RandomEngine& random) {
+  static size_t Pick(std::span<BackendState* const> candidates,
+                     RandomEngine& random) {
     return DrawIndex(random, candidates.size());
   }
 };
--- a/src/core/rendezvous_func.h
+++ b/src/core/rendezvous_func.h
@@ -1,4 +1,5 @@
-/** @file rendezvous_func.h Rendezvous hashing: every process ranks the same candidates in the same order. */
+/** @file rendezvous_func.h Rendezvous hashing: every process ranks the same
+ * candidates in the same order. */
 
 #ifndef CUMINVANE_CORE_RENDEZVOUS_FUNC_H_
 #define CUMINVANE_CORE_RENDEZVOUS_FUNC_H_
--- a/src/core/reply_func.h
+++ b/src/core/reply_func.h
@@ -1,4 +1,5 @@
-/** @file reply_func.h Builds what a balancer sends to callers and backend servers. */
+/** @file reply_func.h Builds what a balancer sends to callers and backend
+ * servers. */
 
 #ifndef CUMINVANE_CORE_REPLY_FUNC_H_
 #define CUMINVANE_CORE_REPLY_FUNC_H_
@@ -16,22 +17,42 @@
 void SendToCaller(const CallerPath& path, std::string_view packet, Output& out);
 
 /** Tells a caller how a request ended without an answer. */
-void SendVerdict(const CallerPath& path, FlowId flow, RequestNumber number, ResultCode code, Output& out);
+void SendVerdict(const CallerPath& path,
+                 FlowId flow,
+                 RequestNumber number,
+                 ResultCode code,
+                 Output& out);
 
 /** Tells a caller that its request is recorded here. */
-void SendReceipt(const CallerPath& path, FlowId flow, RequestNumber number, const Holder& self, Output& out);
+void SendReceipt(const CallerPath& path,
+                 FlowId flow,
+                 RequestNumber number,
+                 const Holder& self,
+                 Output& out);
 
 /** Sends one part that is here to the caller. */
-void SendPart(FlowId flow, const RequestRecord& record, uint32_t index, const Holder& self, Output& out);
+void SendPart(FlowId flow,
+              const RequestRecord& record,
+              uint32_t index,
+              const Holder& self,
+              Output& out);
 
 /** Sends the request to its backend server. */
-void SendRun(FlowId flow, const RequestRecord& record, const Endpoint& backend, Output& out);
+void SendRun(FlowId flow,
+             const RequestRecord& record,
+             const Endpoint& backend,
+             Output& out);
 
 /** Withdraws the request's run. */
-void SendCancelRun(const RequestRecord& record, const Endpoint& backend, Output& out);
-
-/** Asks the backend server for the parts that are missing, or how the run stands. */
-void SendNeedRunParts(const RequestRecord& record, const Endpoint& backend, Output& out);
+void SendCancelRun(const RequestRecord& record,
+                   const Endpoint& backend,
+                   Output& out);
+
+/** Asks the backend server for the parts that are missing, or how the run
+ * stands. */
+void SendNeedRunParts(const RequestRecord& record,
+                      const Endpoint& backend,
+                      Output& out);
 
 }  // namespace cuminvane
 
--- a/src/core/request_type.h
+++ b/src/core/request_type.h
@@ -26,12 +26,13 @@
 
 /** How far a request has come. */
 enum class RequestState : uint8_t {
-  kSent,        ///< Sent to a backend server that has not said yet that it has it.
-  kAccepted,    ///< A backend server has it.
-  kWithdrawing, ///< Cancellation asked for; whether it started is not known yet.
-  kAnswered,    ///< The whole answer is here, or was delivered.
-  kNotRun,      ///< Not run, and it never will be.
-  kUnknown,     ///< May have been run; never sent again.
+  kSent,  ///< Sent to a backend server that has not said yet that it has it.
+  kAccepted,     ///< A backend server has it.
+  kWithdrawing,  ///< Cancellation asked for; whether it started is not known
+                 ///< yet.
+  kAnswered,     ///< The whole answer is here, or was delivered.
+  kNotRun,       ///< Not run, and it never will be.
+  kUnknown,      ///< May have been run; never sent again.
 };
 
 /** @return Whether the state can still change. */
@@ -40,15 +41,18 @@
          state == RequestState::kWithdrawing;
 }
 
-/** The record of one request; it outlives the request's deadline, so that no late duplicate is run. */
+/** The record of one request; it outlives the request's deadline, so that no
+ * late duplicate is run. */
 struct RequestRecord {
   RequestNumber number;
   ClassId work_class;
   bool idempotent = false;
-  uint64_t fingerprint = 0;  ///< Of class, deadline and payload; tells a repeat from a number used twice.
+  uint64_t fingerprint = 0;  ///< Of class, deadline and payload; tells a repeat
+                             ///< from a number used twice.
   TimePoint arrived_at;
   TimePoint deadline;
-  TimePoint forget_at;  ///< After the deadline; from then on a duplicate is refused by its deadline alone.
+  TimePoint forget_at;  ///< After the deadline; from then on a duplicate is
+                        ///< refused by its deadline alone.
   TimePoint act_at = kNever;  ///< When to look at it again.
   RequestState state = RequestState::kSent;
   ResultCode code = ResultCode::kPending;
@@ -61,10 +65,11 @@
   int silent_polls = 0;  ///< Questions the backend server did not answer.
   CallerPath path;
   ServiceId service;
-  std::string payload;             ///< Kept while it may have to be sent again.
-  std::vector<std::string> parts;  ///< Of the answer; empty strings are missing.
-  std::vector<bool> have;          ///< Which parts are here.
-  size_t arrived = 0;              ///< Number of parts here.
+  std::string payload;  ///< Kept while it may have to be sent again.
+  std::vector<std::string>
+      parts;               ///< Of the answer; empty strings are missing.
+  std::vector<bool> have;  ///< Which parts are here.
+  size_t arrived = 0;      ///< Number of parts here.
   size_t answer_bytes = 0;
 
   bool operator==(const RequestRecord&) const = default;
--- a/src/core/result_type.cc
+++ b/src/core/result_type.cc
@@ -14,8 +14,8 @@
 constexpr int kExitLimit = 100;
 
 const ResultCodeRow* FindRow(ResultCode code) {
-  const auto* const row = std::ranges::lower_bound(kResultCodes, code, {},
-                                                   &ResultCodeRow::code);
+  const auto* const row =
+      std::ranges::lower_bound(kResultCodes, code, {}, &ResultCodeRow::code);
   const bool listed = row != kResultCodes.end() && row->code == code;
   return listed ? row : nullptr;
 }
--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -1,4 +1,5 @@
-/** @file result_type.h Numbered result codes, and results that carry a value or an error. */
+/** @file result_type.h Numbered result codes, and results that carry a value or
+ * an error. */
 
 #ifndef CUMINVANE_CORE_RESULT_TYPE_H_
 #define CUMINVANE_CORE_RESULT_TYPE_H_
@@ -9,7 +10,8 @@
 
 namespace cuminvane {
 
-/** Every way something can end; numbers never change meaning. The table is in table/result_codes.h. */
+/** Every way something can end; numbers never change meaning. The table is in
+ * table/result_codes.h. */
 enum class ResultCode : uint16_t {
   kOk = 0,
   kUsage = 2,
--- a/src/core/route_func.cc
+++ b/src/core/route_func.cc
@@ -14,7 +14,8 @@
 }
 
 Route MakeLost(const char* reason) {
-  return {RouteKind::kRefuse, ResultCode::kOwnerLost, VmId{}, Endpoint{}, reason};
+  return {RouteKind::kRefuse, ResultCode::kOwnerLost, VmId{}, Endpoint{},
+          reason};
 }
 
 }  // namespace
@@ -35,7 +36,9 @@
   return token;
 }
 
-Route RouteToHolder(const BoardView& board, const Holder& holder, bool relayed) {
+Route RouteToHolder(const BoardView& board,
+                    const Holder& holder,
+                    bool relayed) {
   const Holder& self = board.self.value->id;
   if (holder == self)
     return {RouteKind::kLocal, ResultCode::kOk, VmId{}, Endpoint{}, "holder"};
@@ -68,7 +71,8 @@
                    bool relayed) {
   const WorkClass* const work = FindClass(*board.config.value, work_class);
   if (work != nullptr && work->idempotent)
-    return {RouteKind::kLocal, ResultCode::kOk, VmId{}, Endpoint{}, "idempotent"};
+    return {RouteKind::kLocal, ResultCode::kOk, VmId{}, Endpoint{},
+            "idempotent"};
   return RouteToHolder(board, token.owner, relayed);
 }
 
--- a/src/core/route_type.h
+++ b/src/core/route_type.h
@@ -1,4 +1,5 @@
-/** @file route_type.h Where a caller's packet goes from the balancer that received it. */
+/** @file route_type.h Where a caller's packet goes from the balancer that
+ * received it. */
 
 #ifndef CUMINVANE_CORE_ROUTE_TYPE_H_
 #define CUMINVANE_CORE_ROUTE_TYPE_H_
--- a/src/core/schema_func.cc
+++ b/src/core/schema_func.cc
@@ -33,7 +33,8 @@
       parts.emplace_back();
       continue;
     }
-    parts.push_back(part.substr(first, part.find_last_not_of(" \t") - first + 1));
+    parts.push_back(
+        part.substr(first, part.find_last_not_of(" \t") - first + 1));
   }
   return parts;
 }
@@ -61,7 +62,8 @@
 bool IsValid(std::string_view text, const KeyRow& row) {
   switch (row.kind) {
     case ValueKind::kInteger:
-      return ParseNumber<int64_t>(text) && IsWithin(ParseNumber<double>(text), row);
+      return ParseNumber<int64_t>(text) &&
+             IsWithin(ParseNumber<double>(text), row);
     case ValueKind::kDecimal:
       return IsWithin(ParseNumber<double>(text), row);
     case ValueKind::kBoolean:
@@ -121,7 +123,9 @@
 /** Collects the problems of one document. */
 class Checker {
  public:
-  Checker(const IniDocument& document, const Schema& schema, IniProblems& problems)
+  Checker(const IniDocument& document,
+          const Schema& schema,
+          IniProblems& problems)
       : document(document), schema(schema), problems(problems) {}
 
   void CheckAll() {
--- a/src/core/schema_func.h
+++ b/src/core/schema_func.h
@@ -1,4 +1,5 @@
-/** @file schema_func.h Checks a document against a schema and reads values that have passed the check. */
+/** @file schema_func.h Checks a document against a schema and reads values that
+ * have passed the check. */
 
 #ifndef CUMINVANE_CORE_SCHEMA_FUNC_H_
 #define CUMINVANE_CORE_SCHEMA_FUNC_H_
@@ -16,7 +17,8 @@
 namespace cuminvane {
 
 /**
- * Adds a problem for every section, key and value the schema does not allow, and for each that is missing.
+ * Adds a problem for every section, key and value the schema does not allow,
+ * and for each that is missing.
  * @param document The document as read.
  * @param schema What is allowed.
  * @param problems Problems are added at the end.
@@ -25,7 +27,8 @@
                  const Schema& schema,
                  IniProblems& problems);
 
-/** One section seen through the schema: a key that is absent reads as its default. */
+/** One section seen through the schema: a key that is absent reads as its
+ * default. */
 class SectionReader {
  public:
   /**
@@ -34,7 +37,8 @@
    */
   SectionReader(const IniSection& section, const Schema& schema);
 
-  /** @return The second word of the section's name, empty where there is none. */
+  /** @return The second word of the section's name, empty where there is none.
+   */
   std::string Name() const;
   /** @return The value as text. */
   std::string Text(std::string_view key) const;
@@ -44,13 +48,16 @@
   double Decimal(std::string_view key) const;
   /** @return The value of a kBoolean key. */
   bool Boolean(std::string_view key) const;
-  /** @return The value of a kEndpoint key, 0.0.0.0:0 where the default is empty. */
+  /** @return The value of a kEndpoint key, 0.0.0.0:0 where the default is
+   * empty. */
   Endpoint Address(std::string_view key) const;
   /** @return The items of a kWordList or kEndpointList key. */
   std::vector<std::string> List(std::string_view key) const;
-  /** @return The value of a kTime key, or nothing where the default is empty. */
+  /** @return The value of a kTime key, or nothing where the default is empty.
+   */
   std::optional<TimePoint> Time(std::string_view key) const;
-  /** @return Line of the key, or of the section's header where the key is absent. */
+  /** @return Line of the key, or of the section's header where the key is
+   * absent. */
   int Line(std::string_view key) const;
 
  private:
--- a/src/core/schema_type.h
+++ b/src/core/schema_type.h
@@ -1,4 +1,5 @@
-/** @file schema_type.h How a table describes the sections and keys that a document may have. */
+/** @file schema_type.h How a table describes the sections and keys that a
+ * document may have. */
 
 #ifndef CUMINVANE_CORE_SCHEMA_TYPE_H_
 #define CUMINVANE_CORE_SCHEMA_TYPE_H_
@@ -37,10 +38,10 @@
 
 /** One kind of section. */
 struct SectionRow {
-  const char* section;   ///< First word of its name.
-  bool named;            ///< Has a second word: `[class edits]`.
-  bool required;         ///< At least one must be there.
-  const char* meaning;   ///< One sentence.
+  const char* section;  ///< First word of its name.
+  bool named;           ///< Has a second word: `[class edits]`.
+  bool required;        ///< At least one must be there.
+  const char* meaning;  ///< One sentence.
 };
 
 /** Everything a document of one sort may have. */
--- a/src/core/settings_func.cc
+++ b/src/core/settings_func.cc
@@ -29,7 +29,8 @@
   settings.fabric = section.Address("fabric");
   settings.backend = section.Address("backend");
   settings.peer = section.Address("peer");
-  settings.control_port = static_cast<uint16_t>(section.Integer("control_port"));
+  settings.control_port =
+      static_cast<uint16_t>(section.Integer("control_port"));
   settings.control_threads =
       static_cast<int>(section.Integer("control_threads"));
 }
--- a/src/core/settings_type.h
+++ b/src/core/settings_type.h
@@ -15,12 +15,12 @@
 
 /** Limits on requests. */
 struct RequestLimits {
-  Milliseconds deadline_limit{60000};  ///< Furthest deadline accepted.
-  size_t records_per_flow = 64;        ///< Requests remembered for a flow.
-  size_t records_per_shard = 65536;    ///< Requests remembered in a shard.
-  size_t answer_limit_bytes = 1048576; ///< Largest answer kept.
-  Milliseconds accept_timeout{100};    ///< Wait for acceptance.
-  int retry_percent = 10;              ///< Retries per hundred requests.
+  Milliseconds deadline_limit{60000};   ///< Furthest deadline accepted.
+  size_t records_per_flow = 64;         ///< Requests remembered for a flow.
+  size_t records_per_shard = 65536;     ///< Requests remembered in a shard.
+  size_t answer_limit_bytes = 1048576;  ///< Largest answer kept.
+  Milliseconds accept_timeout{100};     ///< Wait for acceptance.
+  int retry_percent = 10;               ///< Retries per hundred requests.
 
   bool operator==(const RequestLimits&) const = default;
 };
--- a/src/core/shard_base.h
+++ b/src/core/shard_base.h
@@ -1,4 +1,5 @@
-/** @file shard_base.h One shard of the flow state: records requests, dispatches them, keeps answers. */
+/** @file shard_base.h One shard of the flow state: records requests, dispatches
+ * them, keeps answers. */
 
 #ifndef CUMINVANE_CORE_SHARD_BASE_H_
 #define CUMINVANE_CORE_SHARD_BASE_H_
@@ -34,8 +35,12 @@
                                     TimePoint now,
                                     RandomEngine& random,
                                     const LoadReport& report) {
-  { placement.ForRequest(service, preferred, flow, now) } -> std::same_as<Result<Target>>;
-  { placement.ForRetry(service, vm, now, random) } -> std::same_as<Result<Target>>;
+  {
+    placement.ForRequest(service, preferred, flow, now)
+    } -> std::same_as<Result<Target>>;
+  {
+    placement.ForRetry(service, vm, now, random)
+    } -> std::same_as<Result<Target>>;
   { placement.AddressOf(vm) } -> std::same_as<Endpoint>;
   placement.OnSent(vm);
   placement.OnEnded(now, vm, RunEnd::kAnswered);
@@ -53,9 +58,11 @@
 /**
  * Requests of the flows that hash to this shard.
  *
- * A non-idempotent request reaches the shard of its flow's owner only, and only once: its record outlives its
- * deadline, and a later duplicate is refused by that deadline. `Not run` is said of what this shard never sent or
- * of what a backend server said it did not run; the record then keeps it from being sent later.
+ * A non-idempotent request reaches the shard of its flow's owner only, and only
+ * once: its record outlives its deadline, and a later duplicate is refused by
+ * that deadline. `Not run` is said of what this shard never sent or of what a
+ * backend server said it did not run; the record then keeps it from being sent
+ * later.
  *
  * @tparam Placement Chooses backend servers.
  */
@@ -68,26 +75,38 @@
    * @param placement Chooses backend servers; must outlive the shard.
    */
   Shard(uint8_t index, const RequestLimits& limits, Placement& placement)
-      : index(index), limits(limits), placement(placement), budget(limits.retry_percent) {}
+      : index(index),
+        limits(limits),
+        placement(placement),
+        budget(limits.retry_percent) {}
 
   /** @return Number of the shard that a run belongs to. */
-  static uint8_t IndexOf(RunId run) { return static_cast<uint8_t>(run.value & kIndexMask); }
+  static uint8_t IndexOf(RunId run) {
+    return static_cast<uint8_t>(run.value & kIndexMask);
+  }
 
   /** Handles a request that is this balancer's to dispatch. */
-  void OnRequest(const ShardCall& call, const CallerPath& path, const FlowToken& token, const Request& request) {
+  void OnRequest(const ShardCall& call,
+                 const CallerPath& path,
+                 const FlowToken& token,
+                 const Request& request) {
     this->TakeOrAnswer(call, path, token, request);
     this->DropIfUnused(request.flow);
   }
 
   /** Handles a caller's question for parts. */
-  void OnNeedParts(const ShardCall& call, const CallerPath& path, const NeedParts& question) {
+  void OnNeedParts(const ShardCall& call,
+                   const CallerPath& path,
+                   const NeedParts& question) {
     RequestRecord* const record = this->Find(question.flow, question.number);
     if (record == nullptr) {
-      SendVerdict(path, question.flow, question.number, ResultCode::kOutcomeUnknown, call.out);
+      SendVerdict(path, question.flow, question.number,
+                  ResultCode::kOutcomeUnknown, call.out);
       return;
     }
     record->path = path;
-    const bool other_run = question.run != RunId{} && question.run != record->run;
+    const bool other_run =
+        question.run != RunId{} && question.run != record->run;
     if (question.missing.empty() || other_run) {
       this->TellState(call, question.flow, *record);
       return;
@@ -96,7 +115,8 @@
     for (const uint32_t part : question.missing) {
       const bool here = part < record->have.size() && record->have[part];
       if (here && !record->delivered && sent < kPartsPerReply) {
-        SendPart(question.flow, *record, part, call.board.self.value->id, call.out);
+        SendPart(question.flow, *record, part, call.board.self.value->id,
+                 call.out);
         ++sent;
       }
     }
@@ -115,7 +135,9 @@
   }
 
   /** Handles a caller that gives a request up. */
-  void OnCancel(const ShardCall& call, const CallerPath& path, const Cancel& cancel) {
+  void OnCancel(const ShardCall& call,
+                const CallerPath& path,
+                const Cancel& cancel) {
     RequestRecord* const record = this->Find(cancel.flow, cancel.number);
     if (record == nullptr)
       return;
@@ -125,7 +147,8 @@
       this->TellState(call, cancel.flow, *record);
       return;
     }
-    this->Log(call, "withdraw", "caller", cancel.flow, cancel.number, record->backend, ResultCode::kOk);
+    this->Log(call, "withdraw", "caller", cancel.flow, cancel.number,
+              record->backend, ResultCode::kOk);
     this->Withdraw(call, cancel.flow, *record);
   }
 
@@ -148,8 +171,10 @@
   /** Handles one part of an answer. */
   void OnRunPart(const ShardCall& call, const RunPart& part) {
     const Located located = this->Locate(part.run);
-    if (located.record == nullptr || part.count == 0 || part.index >= part.count || part.count > kMostParts) {
-      this->Log(call, "drop", "unknown_run", located.flow, {}, {}, ResultCode::kUnknownRun);
+    if (located.record == nullptr || part.count == 0 ||
+        part.index >= part.count || part.count > kMostParts) {
+      this->Log(call, "drop", "unknown_run", located.flow, {}, {},
+                ResultCode::kUnknownRun);
       return;
     }
     RequestRecord& record = *located.record;
@@ -160,7 +185,8 @@
     this->StorePart(call, located.flow, record, part);
   }
 
-  /** Handles a backend server's refusal: the run did not and will not happen. */
+  /** Handles a backend server's refusal: the run did not and will not happen.
+   */
   void OnRefused(const ShardCall& call, const Refused& refused) {
     const Located located = this->Locate(refused.run);
     if (located.record == nullptr)
@@ -171,7 +197,8 @@
       return;
     this->placement.OnEnded(call.now, record.backend, RunEnd::kRefused);
     const auto code = static_cast<ResultCode>(refused.code);
-    this->Log(call, "refused", "backend", located.flow, record.number, record.backend, code);
+    this->Log(call, "refused", "backend", located.flow, record.number,
+              record.backend, code);
     this->RetryOrEnd(call, located.flow, record, NotRunCodeFor(code));
   }
 
@@ -191,7 +218,8 @@
       return;
     }
     this->placement.OnEnded(call.now, record.backend, RunEnd::kRefused);
-    this->Log(call, "withdrawn", "not_started", located.flow, record.number, record.backend, ResultCode::kOk);
+    this->Log(call, "withdrawn", "not_started", located.flow, record.number,
+              record.backend, ResultCode::kOk);
     this->RetryOrEnd(call, located.flow, record, ResultCode::kOverloaded);
   }
 
@@ -205,11 +233,13 @@
     if (!IsOpen(record.state))
       return;
     this->placement.OnEnded(call.now, record.backend, RunEnd::kRefused);
-    this->Log(call, "run_lost", "backend", located.flow, record.number, record.backend, ResultCode::kOutcomeUnknown);
+    this->Log(call, "run_lost", "backend", located.flow, record.number,
+              record.backend, ResultCode::kOutcomeUnknown);
     if (record.idempotent)
       this->RetryOrEnd(call, located.flow, record, ResultCode::kUnavailable);
     else
-      this->End(call, located.flow, record, RequestState::kUnknown, ResultCode::kOutcomeUnknown);
+      this->End(call, located.flow, record, RequestState::kUnknown,
+                ResultCode::kOutcomeUnknown);
   }
 
   /** Acts on records whose time has come, and forgets those that are over. */
@@ -221,7 +251,8 @@
     }
   }
 
-  /** @return Requests whose outcome or delivery this shard still owes to a caller. */
+  /** @return Requests whose outcome or delivery this shard still owes to a
+   * caller. */
   size_t Unfinished() const { return this->unfinished; }
   /** @return Records held. */
   size_t Records() const { return this->records; }
@@ -236,7 +267,8 @@
   static constexpr int kMostSilentPolls = 3;
   static constexpr Milliseconds kPollInterval{500};
   static constexpr Milliseconds kPartGap{40};
-  /** Records outlive the deadline by more than the clocks of two VMs may differ. */
+  /** Records outlive the deadline by more than the clocks of two VMs may
+   * differ. */
   static constexpr Seconds kRecordMargin{2};
 
   /** A record to look at. */
@@ -253,8 +285,9 @@
 
   static uint64_t FingerprintOf(const Request& request) {
     const std::string_view payload = View(request.payload);
-    const std::array<uint64_t, 3> parts{request.work_class.value, static_cast<uint64_t>(request.deadline),
-                                        XXH3_64bits(payload.data(), payload.size())};
+    const std::array<uint64_t, 3> parts{
+        request.work_class.value, static_cast<uint64_t>(request.deadline),
+        XXH3_64bits(payload.data(), payload.size())};
     return XXH3_64bits(parts.data(), sizeof(parts));
   }
 
@@ -271,7 +304,8 @@
     const auto timer = this->runs.find(run);
     if (timer == this->runs.end())
       return {};
-    RequestRecord* const record = this->Find(timer->second.flow, timer->second.number);
+    RequestRecord* const record =
+        this->Find(timer->second.flow, timer->second.number);
     const bool current = record != nullptr && record->run == run;
     return {timer->second.flow, current ? record : nullptr};
   }
@@ -296,27 +330,34 @@
   /** A window that never took a request holds nothing worth keeping. */
   void DropIfUnused(FlowId flow) {
     const auto window = this->flows.find(flow);
-    if (window != this->flows.end() && window->second.Highest() == RequestNumber{})
+    if (window != this->flows.end() &&
+        window->second.Highest() == RequestNumber{})
       this->flows.erase(window);
   }
 
   void Schedule(RequestRecord& record, FlowId flow, TimePoint at) {
-    record.act_at = std::min(at, IsOpen(record.state) ? record.deadline : record.forget_at);
+    record.act_at =
+        std::min(at, IsOpen(record.state) ? record.deadline : record.forget_at);
     this->timers.emplace(record.act_at, Timer{flow, record.number});
   }
 
-  void TakeOrAnswer(const ShardCall& call, const CallerPath& path, const FlowToken& token, const Request& request) {
+  void TakeOrAnswer(const ShardCall& call,
+                    const CallerPath& path,
+                    const FlowToken& token,
+                    const Request& request) {
     FlowWindow& window = this->flows[request.flow];
     RequestRecord* const known = window.Find(request.number);
     if (known != nullptr) {
       this->Repeat(call, path, *known, request);
       return;
     }
-    const WorkClass* const work = FindClass(*call.board.config.value, request.work_class);
+    const WorkClass* const work =
+        FindClass(*call.board.config.value, request.work_class);
     const bool idempotent = work != nullptr && work->idempotent;
     const bool foreign = !idempotent && request.number <= token.fence;
     if (foreign || window.IsForgotten(request.number)) {
-      this->Refuse(call, path, request, ResultCode::kOutcomeUnknown, foreign ? "fence" : "forgotten");
+      this->Refuse(call, path, request, ResultCode::kOutcomeUnknown,
+                   foreign ? "fence" : "forgotten");
       return;
     }
     if (call.board.self.value->stopping && !idempotent) {
@@ -324,23 +365,30 @@
       return;
     }
     if (!this->MakeRoom(window)) {
-      this->Log(call, "drop", "records", request.flow, request.number, VmId{}, ResultCode::kTooManyRequests);
+      this->Log(call, "drop", "records", request.flow, request.number, VmId{},
+                ResultCode::kTooManyRequests);
       return;
     }
     this->TakeNew(call, path, token, window, request, work);
   }
 
   /** A repeat of a request that is on record is answered from the record. */
-  void Repeat(const ShardCall& call, const CallerPath& path, RequestRecord& record, const Request& request) {
+  void Repeat(const ShardCall& call,
+              const CallerPath& path,
+              RequestRecord& record,
+              const Request& request) {
     if (record.fingerprint != FingerprintOf(request)) {
-      this->Refuse(call, path, request, ResultCode::kNumberReused, "fingerprint");
+      this->Refuse(call, path, request, ResultCode::kNumberReused,
+                   "fingerprint");
       return;
     }
     record.path = path;
     this->TellState(call, request.flow, record);
   }
 
-  void TellState(const ShardCall& call, FlowId flow, const RequestRecord& record) {
+  void TellState(const ShardCall& call,
+                 FlowId flow,
+                 const RequestRecord& record) {
     const Holder& self = call.board.self.value->id;
     if (IsOpen(record.state)) {
       SendReceipt(record.path, flow, record.number, self, call.out);
@@ -355,25 +403,38 @@
       SendPart(flow, record, part, self, call.out);
   }
 
-  /** Refuses without a record: for verdicts that a late duplicate gets again. */
-  void Refuse(const ShardCall& call, const CallerPath& path, const Request& request, ResultCode code, const char* reason) {
-    this->Log(call, "refuse", reason, request.flow, request.number, VmId{}, code);
+  /** Refuses without a record: for verdicts that a late duplicate gets again.
+   */
+  void Refuse(const ShardCall& call,
+              const CallerPath& path,
+              const Request& request,
+              ResultCode code,
+              const char* reason) {
+    this->Log(call, "refuse", reason, request.flow, request.number, VmId{},
+              code);
     SendVerdict(path, request.flow, request.number, code, call.out);
   }
 
   /** Stopping: the request is not taken, and the flow gets its next owner. */
-  void Move(const ShardCall& call, const CallerPath& path, const FlowToken& token, const FlowWindow& window, const Request& request) {
+  void Move(const ShardCall& call,
+            const CallerPath& path,
+            const FlowToken& token,
+            const FlowWindow& window,
+            const Request& request) {
     FlowToken next = token;
     next.owner = SuccessorOf(*call.board.members.value, token.flow);
     next.key = call.board.self.value->issue_key;
     next.fence = std::max({token.fence, window.Highest(), request.number});
-    const Result<std::string> sealed = SealToken(next, call.board.config.value->keys);
+    const Result<std::string> sealed =
+        SealToken(next, call.board.config.value->keys);
     if (next.owner == Holder{} || !sealed) {
       this->Refuse(call, path, request, ResultCode::kOwnerLost, "no_successor");
       return;
     }
-    this->Log(call, "move", "stopping", request.flow, request.number, next.owner.vm, ResultCode::kMoved);
-    const Verdict verdict{request.flow, request.number, static_cast<uint16_t>(ResultCode::kMoved),
+    this->Log(call, "move", "stopping", request.flow, request.number,
+              next.owner.vm, ResultCode::kMoved);
+    const Verdict verdict{request.flow, request.number,
+                          static_cast<uint16_t>(ResultCode::kMoved),
                           MakeBlob(sealed.value()), next.fence};
     SendToCaller(path, Encode(verdict), call.out);
   }
@@ -394,7 +455,8 @@
     fresh.path = path;
     fresh.service = token.service;
     if (fresh.deadline > call.now + this->limits.deadline_limit) {
-      this->Refuse(call, path, request, ResultCode::kDeadlineTooFar, "deadline");
+      this->Refuse(call, path, request, ResultCode::kDeadlineTooFar,
+                   "deadline");
       return;
     }
     fresh.forget_at = std::max(fresh.deadline, call.now) + kRecordMargin;
@@ -407,26 +469,34 @@
       return;
     }
     if (record.deadline <= call.now) {
-      // Of a flow with no record at all, an earlier record may have been forgotten.
+      // Of a flow with no record at all, an earlier record may have been
+      // forgotten.
       if (first_of_flow)
-        this->End(call, request.flow, record, RequestState::kUnknown, ResultCode::kOutcomeUnknown);
+        this->End(call, request.flow, record, RequestState::kUnknown,
+                  ResultCode::kOutcomeUnknown);
       else
-        this->EndNotRun(call, request.flow, record, ResultCode::kDeadlinePassed);
+        this->EndNotRun(call, request.flow, record,
+                        ResultCode::kDeadlinePassed);
       return;
     }
     this->budget.Earn();
     record.payload = View(request.payload);
     const Holder preferred{token.backend, token.backend_incarnation};
-    const Result<Target> target = this->placement.ForRequest(token.service, preferred, request.flow, call.now);
+    const Result<Target> target = this->placement.ForRequest(
+        token.service, preferred, request.flow, call.now);
     if (!target) {
       this->EndNotRun(call, request.flow, record, ResultCode::kNoBackend);
       return;
     }
     this->Dispatch(call, request.flow, record, target.value());
-    SendReceipt(path, request.flow, record.number, call.board.self.value->id, call.out);
+    SendReceipt(path, request.flow, record.number, call.board.self.value->id,
+                call.out);
   }
 
-  void Dispatch(const ShardCall& call, FlowId flow, RequestRecord& record, const Target& target) {
+  void Dispatch(const ShardCall& call,
+                FlowId flow,
+                RequestRecord& record,
+                const Target& target) {
     this->runs.erase(record.run);
     record.run = RunId{(DrawId(call.random) & ~kIndexMask) | this->index};
     this->runs.emplace(record.run, Timer{flow, record.number});
@@ -440,24 +510,30 @@
     record.silent_polls = 0;
     ++record.dispatches;
     this->placement.OnSent(target.vm);
-    this->Log(call, "dispatch", target.reason, flow, record.number, target.vm, ResultCode::kOk);
+    this->Log(call, "dispatch", target.reason, flow, record.number, target.vm,
+              ResultCode::kOk);
     SendRun(flow, record, target.address, call.out);
     this->Schedule(record, flow, call.now + this->limits.accept_timeout);
   }
 
-  void StorePart(const ShardCall& call, FlowId flow, RequestRecord& record, const RunPart& part) {
+  void StorePart(const ShardCall& call,
+                 FlowId flow,
+                 RequestRecord& record,
+                 const RunPart& part) {
     if (record.parts.empty()) {
       record.parts.resize(part.count);
       record.have.resize(part.count);
     }
     if (part.count != record.parts.size() || record.have[part.index])
       return;
-    if (record.state == RequestState::kSent || record.state == RequestState::kWithdrawing)
+    if (record.state == RequestState::kSent ||
+        record.state == RequestState::kWithdrawing)
       record.state = RequestState::kAccepted;
     record.answer_bytes += part.payload.size;
     if (record.answer_bytes > this->limits.answer_limit_bytes) {
       this->placement.OnEnded(call.now, record.backend, RunEnd::kAnswered);
-      this->End(call, flow, record, RequestState::kUnknown, ResultCode::kAnswerTooLarge);
+      this->End(call, flow, record, RequestState::kUnknown,
+                ResultCode::kAnswerTooLarge);
       return;
     }
     record.parts[part.index] = View(part.payload);
@@ -469,7 +545,8 @@
       return;
     }
     const Endpoint backend = this->placement.AddressOf(record.backend);
-    call.out.datagrams.push_back({Lane::kBackend, backend, Encode(RunDone{record.run})});
+    call.out.datagrams.push_back(
+        {Lane::kBackend, backend, Encode(RunDone{record.run})});
     this->placement.OnEnded(call.now, record.backend, RunEnd::kAnswered);
     this->Finish(call, flow, record, RequestState::kAnswered, ResultCode::kOk);
   }
@@ -480,18 +557,25 @@
     this->Schedule(record, flow, call.now + this->limits.accept_timeout);
   }
 
-  /** The run did not happen, or may happen again: tries elsewhere, or ends the request. */
-  void RetryOrEnd(const ShardCall& call, FlowId flow, RequestRecord& record, ResultCode code) {
+  /** The run did not happen, or may happen again: tries elsewhere, or ends the
+   * request. */
+  void RetryOrEnd(const ShardCall& call,
+                  FlowId flow,
+                  RequestRecord& record,
+                  ResultCode code) {
     if (record.cancelled) {
       this->EndNotRun(call, flow, record, ResultCode::kCancelled);
       return;
     }
-    const bool may_retry = record.dispatches < kMostDispatches && call.now < record.deadline && !record.payload.empty();
+    const bool may_retry = record.dispatches < kMostDispatches &&
+                           call.now < record.deadline &&
+                           !record.payload.empty();
     if (!may_retry || !this->budget.Spend()) {
       this->EndNotRun(call, flow, record, code);
       return;
     }
-    const Result<Target> target = this->placement.ForRetry(record.service, record.backend, call.now, call.random);
+    const Result<Target> target = this->placement.ForRetry(
+        record.service, record.backend, call.now, call.random);
     if (!target) {
       this->EndNotRun(call, flow, record, code);
       return;
@@ -499,21 +583,35 @@
     this->Dispatch(call, flow, record, target.value());
   }
 
-  /** Ends a request that was not run; of idempotent work another balancer may have run a duplicate. */
-  void EndNotRun(const ShardCall& call, FlowId flow, RequestRecord& record, ResultCode code) {
+  /** Ends a request that was not run; of idempotent work another balancer may
+   * have run a duplicate. */
+  void EndNotRun(const ShardCall& call,
+                 FlowId flow,
+                 RequestRecord& record,
+                 ResultCode code) {
     if (record.idempotent)
-      this->End(call, flow, record, RequestState::kUnknown, ResultCode::kUnavailable);
+      this->End(call, flow, record, RequestState::kUnknown,
+                ResultCode::kUnavailable);
     else
       this->End(call, flow, record, RequestState::kNotRun, code);
   }
 
-  void End(const ShardCall& call, FlowId flow, RequestRecord& record, RequestState state, ResultCode code) {
-    this->Log(call, "end", record.idempotent ? "idempotent" : "non_idempotent", flow, record.number, record.backend, code);
+  void End(const ShardCall& call,
+           FlowId flow,
+           RequestRecord& record,
+           RequestState state,
+           ResultCode code) {
+    this->Log(call, "end", record.idempotent ? "idempotent" : "non_idempotent",
+              flow, record.number, record.backend, code);
     this->Finish(call, flow, record, state, code);
     SendVerdict(record.path, flow, record.number, code, call.out);
   }
 
-  void Finish(const ShardCall& call, FlowId flow, RequestRecord& record, RequestState state, ResultCode code) {
+  void Finish(const ShardCall& call,
+              FlowId flow,
+              RequestRecord& record,
+              RequestState state,
+              ResultCode code) {
     record.state = state;
     record.code = code;
     record.payload = {};
@@ -521,8 +619,9 @@
     if (state != RequestState::kAnswered)
       --this->unfinished;
     this->Schedule(record, flow, record.forget_at);
-    call.out.samples.push_back(
-        {record.work_class, code, std::chrono::duration_cast<Microseconds>(call.now - record.arrived_at)});
+    call.out.samples.push_back({record.work_class, code,
+                                std::chrono::duration_cast<Microseconds>(
+                                    call.now - record.arrived_at)});
   }
 
   void OnTimer(const ShardCall& call, const Timer& timer) {
@@ -548,7 +647,8 @@
       SendCancelRun(record, backend, call.out);
       this->placement.OnEnded(call.now, record.backend, RunEnd::kSilent);
       this->End(call, flow, record, RequestState::kUnknown,
-                record.idempotent ? ResultCode::kUnavailable : ResultCode::kOutcomeUnknown);
+                record.idempotent ? ResultCode::kUnavailable
+                                  : ResultCode::kOutcomeUnknown);
       return;
     }
     switch (record.state) {
@@ -564,9 +664,13 @@
     }
   }
 
-  /** Whether the run arrived is not known: non-idempotent work is withdrawn first, other work just goes elsewhere. */
-  void OnNoAcceptance(const ShardCall& call, FlowId flow, RequestRecord& record) {
-    this->Log(call, "no_acceptance", "timeout", flow, record.number, record.backend, ResultCode::kOk);
+  /** Whether the run arrived is not known: non-idempotent work is withdrawn
+   * first, other work just goes elsewhere. */
+  void OnNoAcceptance(const ShardCall& call,
+                      FlowId flow,
+                      RequestRecord& record) {
+    this->Log(call, "no_acceptance", "timeout", flow, record.number,
+              record.backend, ResultCode::kOk);
     if (!record.idempotent) {
       this->Withdraw(call, flow, record);
       return;
@@ -576,19 +680,32 @@
     this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable);
   }
 
-  void PollBackend(const ShardCall& call, FlowId flow, RequestRecord& record, const Endpoint& backend) {
+  void PollBackend(const ShardCall& call,
+                   FlowId flow,
+                   RequestRecord& record,
+                   const Endpoint& backend) {
     ++record.silent_polls;
-    const bool lost = record.silent_polls > kMostSilentPolls && record.idempotent;
+    const bool lost =
+        record.silent_polls > kMostSilentPolls && record.idempotent;
     if (lost) {
       this->placement.OnEnded(call.now, record.backend, RunEnd::kSilent);
       this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable);
       return;
     }
     SendNeedRunParts(record, backend, call.out);
-    this->Schedule(record, flow, call.now + (record.parts.empty() ? kPollInterval : kPartGap * record.silent_polls));
-  }
-
-  void Log(const ShardCall& call, const char* event, const char* reason, FlowId flow, RequestNumber number, VmId vm, ResultCode code) {
+    this->Schedule(
+        record, flow,
+        call.now + (record.parts.empty() ? kPollInterval
+                                         : kPartGap * record.silent_polls));
+  }
+
+  void Log(const ShardCall& call,
+           const char* event,
+           const char* reason,
+           FlowId flow,
+           RequestNumber number,
+           VmId vm,
+           ResultCode code) {
     Decision decision;
     decision.topic = Topic::kPlacement;
     decision.event = event;
@@ -606,7 +723,8 @@
   RetryBudget budget;
   std::unordered_map<FlowId, FlowWindow> flows;
   std::unordered_map<RunId, Timer> runs;
-  std::multimap<TimePoint, Timer> timers;  ///< May hold stale ones; the record's own time decides.
+  std::multimap<TimePoint, Timer>
+      timers;  ///< May hold stale ones; the record's own time decides.
   size_t records = 0;
   size_t unfinished = 0;
 };
--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -1,4 +1,5 @@
-/** @file time_type.h Points in time and spans; the core never reads a clock, it is handed these. */
+/** @file time_type.h Points in time and spans; the core never reads a clock, it
+ * is handed these. */
 
 #ifndef CUMINVANE_CORE_TIME_TYPE_H_
 #define CUMINVANE_CORE_TIME_TYPE_H_
@@ -12,7 +13,8 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-/** UTC in microseconds since the Unix epoch; all deadlines are stored as one of these. */
+/** UTC in microseconds since the Unix epoch; all deadlines are stored as one of
+ * these. */
 using TimePoint = std::chrono::sys_time<Microseconds>;
 
 /** A deadline that never passes. */
--- a/src/core/token_func.h
+++ b/src/core/token_func.h
@@ -17,14 +17,16 @@
  * @param keys The keys in force.
  * @return The token's bytes, or kUnknownKey.
  */
-Result<std::string> SealToken(const FlowToken& token, const std::map<KeyNumber, TokenKey>& keys);
+Result<std::string> SealToken(const FlowToken& token,
+                              const std::map<KeyNumber, TokenKey>& keys);
 
 /**
  * @param bytes A token as a caller sent it.
  * @param keys The keys in force.
  * @return Its content; kTruncated, kGarbage, kUnknownKey or kBadMac.
  */
-Result<FlowToken> OpenToken(std::string_view bytes, const std::map<KeyNumber, TokenKey>& keys);
+Result<FlowToken> OpenToken(std::string_view bytes,
+                            const std::map<KeyNumber, TokenKey>& keys);
 
 }  // namespace cuminvane
 
--- a/src/core/token_type.h
+++ b/src/core/token_type.h
@@ -1,4 +1,5 @@
-/** @file token_type.h The flow token: what a balancer needs to know of a flow, carried by the flow itself. */
+/** @file token_type.h The flow token: what a balancer needs to know of a flow,
+ * carried by the flow itself. */
 
 #ifndef CUMINVANE_CORE_TOKEN_TYPE_H_
 #define CUMINVANE_CORE_TOKEN_TYPE_H_
@@ -17,11 +18,18 @@
   ServiceId service;
   VmId backend;  ///< Backend server chosen when the flow opened.
   Incarnation backend_incarnation;
-  Holder owner;         ///< Only this start of this balancer dispatches the flow's non-idempotent work.
+  Holder owner;  ///< Only this start of this balancer dispatches the flow's
+                 ///< non-idempotent work.
   RequestNumber fence;  ///< Numbers up to here belong to earlier owners.
 
   bool operator==(const FlowToken&) const = default;
-  MSGPACK_DEFINE_ARRAY(key.value, flow.value, service.value, backend.value, backend_incarnation.value, owner, fence.value)
+  MSGPACK_DEFINE_ARRAY(key.value,
+                       flow.value,
+                       service.value,
+                       backend.value,
+                       backend_incarnation.value,
+                       owner,
+                       fence.value)
 };
 
 }  // namespace cuminvane
--- a/src/core/vmlist_func.cc
+++ b/src/core/vmlist_func.cc
@@ -25,8 +25,8 @@
   vm.id = ParseVmId(section.Name());
   vm.incarnation =
       Incarnation{static_cast<uint64_t>(section.Integer("incarnation"))};
-  vm.role = section.Text("role") == "balancer" ? VmRole::kBalancer
-                                               : VmRole::kBackend;
+  vm.role =
+      section.Text("role") == "balancer" ? VmRole::kBalancer : VmRole::kBackend;
   vm.service = ServiceIdOf(section.Text("service"));
   vm.data_centre = section.Text("data_centre");
   vm.address = section.Address("address");
@@ -48,8 +48,8 @@
     problems.push_back({file, raw.line, raw.name, "service", "nothing",
                         "the service of the backend server"});
   if (balancer && section.Text("peer_address").empty())
-    problems.push_back({file, raw.line, raw.name, "peer_address", "nothing",
-                        "A.B.C.D:PORT"});
+    problems.push_back(
+        {file, raw.line, raw.name, "peer_address", "nothing", "A.B.C.D:PORT"});
 }
 
 }  // namespace
--- a/src/core/window_base.cc
+++ b/src/core/window_base.cc
@@ -12,10 +12,9 @@
 }
 
 std::optional<RequestRecord> FlowWindow::ForgetOldest() {
-  const auto oldest_ended =
-      std::ranges::find_if(this->records, [](const auto& item) {
-        return !IsOpen(item.second.state);
-      });
+  const auto oldest_ended = std::ranges::find_if(
+      this->records,
+      [](const auto& item) { return !IsOpen(item.second.state); });
   if (oldest_ended == this->records.end())
     return std::nullopt;
   return this->TakeOut(oldest_ended);
--- a/src/core/window_base.h
+++ b/src/core/window_base.h
@@ -1,4 +1,5 @@
-/** @file window_base.h The requests remembered for one flow: a bounded window that never loses an open request. */
+/** @file window_base.h The requests remembered for one flow: a bounded window
+ * that never loses an open request. */
 
 #ifndef CUMINVANE_CORE_WINDOW_BASE_H_
 #define CUMINVANE_CORE_WINDOW_BASE_H_
@@ -14,18 +15,21 @@
 /**
  * Records of one flow by number.
  *
- * A number at or below the floor without a record was forgotten: its outcome is unknown. A number above the floor
- * without a record was never taken by this balancer.
+ * A number at or below the floor without a record was forgotten: its outcome is
+ * unknown. A number above the floor without a record was never taken by this
+ * balancer.
  */
 class FlowWindow {
  public:
   /** @return The record, null where there is none. */
   RequestRecord* Find(RequestNumber number);
 
-  /** @return Whether a number without a record was once remembered, or may have been. */
+  /** @return Whether a number without a record was once remembered, or may have
+   * been. */
   bool IsForgotten(RequestNumber number) const { return number <= this->floor; }
 
-  /** @return The oldest ended record, taken out of the window; nothing where all are open. */
+  /** @return The oldest ended record, taken out of the window; nothing where
+   * all are open. */
   std::optional<RequestRecord> ForgetOldest();
 
   /** Adds a record; its number must have none. */
@@ -39,7 +43,9 @@
   /** @return Number of records. */
   size_t Size() const { return this->records.size(); }
   /** @return The records by number. */
-  const std::map<RequestNumber, RequestRecord>& Records() const { return this->records; }
+  const std::map<RequestNumber, RequestRecord>& Records() const {
+    return this->records;
+  }
 
  private:
   RequestRecord TakeOut(std::map<RequestNumber, RequestRecord>::iterator place);
--- a/src/shell/clock_func.h
+++ b/src/shell/clock_func.h
@@ -9,7 +9,8 @@
 
 /** @return The present UTC time. */
 inline TimePoint ReadClock() {
-  return std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
+  return std::chrono::time_point_cast<Microseconds>(
+      std::chrono::system_clock::now());
 }
 
 }  // namespace cuminvane
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -18,7 +18,8 @@
 constexpr Milliseconds kTickInterval{5};
 /** Datagrams read before other sockets get their turn. */
 constexpr int kReadsPerTurn = 64;
-/** Pause of a member that does not watch the platform, before it looks again whether it should. */
+/** Pause of a member that does not watch the platform, before it looks again
+ * whether it should. */
 constexpr Milliseconds kWatchPause{200};
 
 /** Where the worker's thread listens, lane by lane. */
@@ -37,8 +38,9 @@
 Result<void> Worker::Open(const Settings& settings, Worker* other) {
   const std::array<Endpoint, kLanes> addresses = Addresses(settings);
   for (size_t lane = 0; lane < kLanes; ++lane) {
-    Result<UdpSocket> socket = other == nullptr ? OpenUdp(this->context, addresses[lane])
-                                                : ShareUdp(this->context, other->sockets[lane]);
+    Result<UdpSocket> socket =
+        other == nullptr ? OpenUdp(this->context, addresses[lane])
+                         : ShareUdp(this->context, other->sockets[lane]);
     if (!socket)
       return socket.error();
     this->sockets[lane] = std::move(socket).value();
@@ -73,19 +75,21 @@
 }
 
 void Worker::WaitFor(Lane lane) {
-  this->SocketOf(lane).async_wait(UdpSocket::wait_read,
-                                  [self = this->shared_from_this(), lane](const asio::error_code& failure) {
-                                    if (failure)
-                                      return;
-                                    self->ReadAll(lane);
-                                    self->WaitFor(lane);
-                                  });
+  this->SocketOf(lane).async_wait(
+      UdpSocket::wait_read,
+      [self = this->shared_from_this(), lane](const asio::error_code& failure) {
+        if (failure)
+          return;
+        self->ReadAll(lane);
+        self->WaitFor(lane);
+      });
 }
 
 void Worker::ReadAll(Lane lane) {
   Endpoint from;
   for (int read = 0; read < kReadsPerTurn; ++read) {
-    const std::optional<std::string_view> bytes = Receive(this->SocketOf(lane), this->buffer, from);
+    const std::optional<std::string_view> bytes =
+        Receive(this->SocketOf(lane), this->buffer, from);
     if (!bytes)
       return;
     this->metrics.CountReceived(lane, bytes->size());
@@ -105,16 +109,19 @@
   }
 }
 
-Daemon::Daemon(Settings settings) : settings(std::move(settings)), node(this->settings) {}
+Daemon::Daemon(Settings settings)
+    : settings(std::move(settings)), node(this->settings) {}
 
 Result<void> Daemon::Run() {
   BOOST_OUTCOME_TRY(this->Open());
   for (size_t index = 1; index < this->workers.size(); ++index)
-    this->threads.emplace_back([worker = this->workers[index]] { worker->Context().run(); });
+    this->threads.emplace_back(
+        [worker = this->workers[index]] { worker->Context().run(); });
   for (const DocumentKind kind : {DocumentKind::kConfig, DocumentKind::kVmList})
     this->threads.emplace_back([this, kind] { this->Watch(kind); });
   LogLine(Topic::kProcess, Severity::kInfo,
-          "event=started vm=" + ToString(this->settings.id) + " incarnation=" + ToString(this->settings.incarnation) +
+          "event=started vm=" + ToString(this->settings.id) +
+              " incarnation=" + ToString(this->settings.incarnation) +
               " fabric=" + ToString(this->settings.fabric));
   this->workers.front()->Context().run();
   for (std::thread& thread : this->threads)
@@ -129,15 +136,20 @@
   for (int index = 0; index < this->settings.threads; ++index) {
     const uint64_t seed = uint64_t{entropy()} << 32 | entropy();
     auto worker = std::make_shared<Worker>(this->node, seed);
-    BOOST_OUTCOME_TRY(worker->Open(this->settings, index == 0 ? nullptr : this->workers.front().get()));
+    BOOST_OUTCOME_TRY(worker->Open(
+        this->settings, index == 0 ? nullptr : this->workers.front().get()));
     this->workers.push_back(std::move(worker));
   }
   const auto self = this->shared_from_this();
   this->control = StartControlServer(
-      this->settings.control_port, this->settings.control_threads, {"status", "set_log_level"},
-      [self](const std::string& method, const std::string& params) { return self->Answer(method, params); });
+      this->settings.control_port, this->settings.control_threads,
+      {"status", "set_log_level"},
+      [self](const std::string& method, const std::string& params) {
+        return self->Answer(method, params);
+      });
   if (this->control == nullptr)
-    return Error{ResultCode::kSocketFailure, "control port " + std::to_string(this->settings.control_port)};
+    return Error{ResultCode::kSocketFailure,
+                 "control port " + std::to_string(this->settings.control_port)};
   asio::io_context& context = this->workers.front()->Context();
   this->timer = std::make_unique<asio::steady_timer>(context);
   this->signals = std::make_unique<asio::signal_set>(context, SIGTERM, SIGINT);
@@ -153,10 +165,11 @@
 
 void Daemon::ScheduleTick() {
   this->timer->expires_after(kTickInterval);
-  this->timer->async_wait([self = this->shared_from_this()](const asio::error_code& failure) {
-    if (!failure)
-      self->OnTick();
-  });
+  this->timer->async_wait(
+      [self = this->shared_from_this()](const asio::error_code& failure) {
+        if (!failure)
+          self->OnTick();
+      });
 }
 
 void Daemon::OnTick() {
@@ -180,7 +193,8 @@
   const TimePoint now = ReadClock();
   this->linger_until = now + this->settings.stop_linger;
   this->grace_until = now + this->settings.stop_grace;
-  LogLine(Topic::kProcess, Severity::kInfo, std::string("event=stopping reason=") + reason);
+  LogLine(Topic::kProcess, Severity::kInfo,
+          std::string("event=stopping reason=") + reason);
   Output out;
   this->node.BeginStop(now, out);
   this->workers.front()->Carry(now, out);
@@ -198,7 +212,8 @@
   this->node.EndStop(out);
   this->workers.front()->Carry(now, out);
   LogLine(Topic::kProcess, Severity::kInfo,
-          "event=finished unfinished=" + std::to_string(this->node.Load().unfinished));
+          "event=finished unfinished=" +
+              std::to_string(this->node.Load().unfinished));
   this->closing = true;
   this->signals->cancel();
   for (const auto& worker : this->workers)
@@ -218,18 +233,22 @@
   }
 }
 
-void Daemon::ReadOnce(DocumentKind kind, RandomEngine& random, Milliseconds& pause) {
+void Daemon::ReadOnce(DocumentKind kind,
+                      RandomEngine& random,
+                      Milliseconds& pause) {
   const auto view = this->node.Beliefs();
-  const ConfigVersion known =
-      kind == DocumentKind::kConfig ? view->config.value->version : view->vms.value->version;
+  const ConfigVersion known = kind == DocumentKind::kConfig
+                                  ? view->config.value->version
+                                  : view->vms.value->version;
   const Result<PlatformAnswer> answer =
-      WatchPlatform(this->settings.platform, ToString(kind), known.value, this->settings.watch, this->closing);
+      WatchPlatform(this->settings.platform, ToString(kind), known.value,
+                    this->settings.watch, this->closing);
   if (this->closing)
     return;
   if (!answer) {
     LogLine(Topic::kConfig, Severity::kWarning,
-            std::string("event=platform_unreachable document=") + ToString(kind) + " reason=\"" +
-                answer.error().message + "\"");
+            std::string("event=platform_unreachable document=") +
+                ToString(kind) + " reason=\"" + answer.error().message + "\"");
     std::this_thread::sleep_for(pause);
     pause = std::min(pause * 2, this->settings.watch);
     return;
@@ -239,20 +258,26 @@
     return;
   const TimePoint now = ReadClock();
   Output out;
-  const Result<void> taken = this->node.OfferDocument(now, kind, answer.value().text, random, out);
+  const Result<void> taken =
+      this->node.OfferDocument(now, kind, answer.value().text, random, out);
   // Sending belongs to a worker's thread.
   const auto worker = this->workers.front();
-  asio::post(worker->Context(), [worker, now, carried = std::move(out)]() mutable { worker->Carry(now, carried); });
+  asio::post(worker->Context(),
+             [worker, now, carried = std::move(out)]() mutable {
+               worker->Carry(now, carried);
+             });
   if (taken)
     return;
   LogLine(Topic::kConfig, Severity::kError,
-          std::string("event=document_refused document=") + ToString(kind) + " code=" + ToString(taken.error().code) +
-              " problems=\"" + taken.error().message + "\"");
+          std::string("event=document_refused document=") + ToString(kind) +
+              " code=" + ToString(taken.error().code) + " problems=\"" +
+              taken.error().message + "\"");
   // The platform would answer at once with the same document again.
   std::this_thread::sleep_for(this->settings.platform_retry);
 }
 
-ControlReply Daemon::Answer(const std::string& method, const std::string& params) {
+ControlReply Daemon::Answer(const std::string& method,
+                            const std::string& params) {
   if (method == "status")
     return {true, this->StatusJson()};
   return this->ChangeLogLevel(params);
@@ -262,20 +287,25 @@
   Metrics merged;
   for (const auto& worker : this->workers)
     merged.Merge(worker->Counts());
-  return FormatStatus(*this->node.Beliefs(), this->node.Load(), this->node.Backends(), merged, this->settings, ReadClock());
+  return FormatStatus(*this->node.Beliefs(), this->node.Load(),
+                      this->node.Backends(), merged, this->settings,
+                      ReadClock());
 }
 
 ControlReply Daemon::ChangeLogLevel(const std::string& params) {
   Json::Value json;
-  if (!ParseJson(params, json) || !json["topic"].isString() || !json["severity"].isString())
+  if (!ParseJson(params, json) || !json["topic"].isString() ||
+      !json["severity"].isString())
     return {false, "topic and severity are needed"};
   const std::optional<Topic> topic = ParseTopic(json["topic"].asString());
-  const std::optional<Severity> severity = ParseSeverity(json["severity"].asString());
+  const std::optional<Severity> severity =
+      ParseSeverity(json["severity"].asString());
   if (!topic || !severity)
     return {false, "no such topic or severity"};
   SetLogLevel(*topic, *severity);
   LogLine(Topic::kProcess, Severity::kInfo,
-          std::string("event=log_level topic_changed=") + ToString(*topic) + " least=" + ToString(*severity));
+          std::string("event=log_level topic_changed=") + ToString(*topic) +
+              " least=" + ToString(*severity));
   return {true, "{\"ok\":true}"};
 }
 
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -1,4 +1,5 @@
-/** @file daemon_base.h The balancer's process: sockets and threads around the decision core. */
+/** @file daemon_base.h The balancer's process: sockets and threads around the
+ * decision core. */
 
 #ifndef CUMINVANE_SHELL_DAEMON_BASE_H_
 #define CUMINVANE_SHELL_DAEMON_BASE_H_
@@ -21,7 +22,8 @@
 
 using DaemonNode = Node<std::mutex>;
 
-/** One thread that reads the three sockets and carries out what the core decides. */
+/** One thread that reads the three sockets and carries out what the core
+ * decides. */
 class Worker : public std::enable_shared_from_this<Worker> {
  public:
   /**
@@ -49,7 +51,9 @@
  private:
   void WaitFor(Lane lane);
   void ReadAll(Lane lane);
-  UdpSocket& SocketOf(Lane lane) { return this->sockets[static_cast<size_t>(lane)]; }
+  UdpSocket& SocketOf(Lane lane) {
+    return this->sockets[static_cast<size_t>(lane)];
+  }
 
   DaemonNode& node;
   asio::io_context context;
@@ -63,12 +67,14 @@
 /** The whole process. */
 class Daemon : public std::enable_shared_from_this<Daemon> {
  public:
-  /** @param settings Settings that have passed their check; the incarnation must be set. */
+  /** @param settings Settings that have passed their check; the incarnation
+   * must be set. */
   explicit Daemon(Settings settings);
 
   /**
    * Runs until a graceful shutdown is complete.
-   * @return kOk after SIGTERM or SIGINT or a planned stop; kSocketFailure where it could not start.
+   * @return kOk after SIGTERM or SIGINT or a planned stop; kSocketFailure where
+   * it could not start.
    */
   Result<void> Run();
 
