--- a/src/shell/load_base.cc
+++ b/src/shell/load_base.cc
@@ -29,7 +29,8 @@
 /** Sockets and timer around the caller's core. */
 class CallerProcess {
  public:
-  explicit CallerProcess(uint64_t seed) : random(seed), caller(this->random), socket(this->context) {}
+  explicit CallerProcess(uint64_t seed)
+      : random(seed), caller(this->random), socket(this->context) {}
 
   Result<void> Open() {
     BOOST_OUTCOME_TRY(opened, OpenUdp(this->context, Endpoint{0, 0}));
@@ -44,7 +45,8 @@
       this->caller.OnPacket(ReadClock(), *bytes, this->out);
     this->caller.Tick(ReadClock(), this->out);
     this->Carry();
-    this->socket.async_wait(UdpSocket::wait_read, [](const asio::error_code&) {});
+    this->socket.async_wait(UdpSocket::wait_read,
+                            [](const asio::error_code&) {});
     this->context.restart();
     this->context.run_one_for(kTickInterval);
     asio::error_code ignored;
@@ -59,7 +61,9 @@
     this->out.datagrams.clear();
   }
 
-  std::vector<CallerEvent> TakeEvents() { return std::exchange(this->out.events, {}); }
+  std::vector<CallerEvent> TakeEvents() {
+    return std::exchange(this->out.events, {});
+  }
 
   RandomEngine random;
   Caller caller;
@@ -104,10 +108,11 @@
   size_t mix = 0;
   FlowHandle handle;
   FlowId id;
-  int unsent = 0;       ///< Requests still to send.
-  int open = 0;         ///< Requests in progress.
+  int unsent = 0;  ///< Requests still to send.
+  int open = 0;    ///< Requests in progress.
   bool follow_up = false;
-  bool last_answered = false;  ///< Whether the request that ended last was answered.
+  bool last_answered =
+      false;  ///< Whether the request that ended last was answered.
 };
 
 /** A request of the load in progress. */
@@ -125,11 +130,14 @@
   bool operator>(const LoadStep& other) const { return this->at > other.at; }
 };
 
-/** Runs all mixes from one socket, so that all flows share one source address and port. */
+/** Runs all mixes from one socket, so that all flows share one source address
+ * and port. */
 class Load {
  public:
   explicit Load(const LoadOptions& options)
-      : options(options), process(options.seed), record(options.record_path, std::ios::app) {}
+      : options(options),
+        process(options.seed),
+        record(options.record_path, std::ios::app) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->process.Open());
@@ -144,24 +152,29 @@
   }
 
  private:
-  /** Spreads opens over the first part of the time and requests over the rest. */
+  /** Spreads opens over the first part of the time and requests over the rest.
+   */
   void Plan(TimePoint begin) {
     const auto whole = std::chrono::duration<double>(this->options.duration);
     for (size_t mix = 0; mix < this->options.mixes.size(); ++mix) {
       for (int number = 0; number < this->options.mixes[mix].flows; ++number) {
         const size_t flow = this->flows.size();
-        this->flows.push_back({mix, {}, {}, this->options.mixes[mix].requests, 0, false, false});
+        this->flows.push_back(
+            {mix, {}, {}, this->options.mixes[mix].requests, 0, false, false});
         std::uniform_real_distribution<double> opens(0, kOpenShare);
         const double open = opens(this->process.random);
         this->steps.push({begin + Spread(whole, open), flow, true});
         std::uniform_real_distribution<double> asks(open, 1);
-        for (int request = 0; request < this->options.mixes[mix].requests; ++request)
-          this->steps.push({begin + Spread(whole, asks(this->process.random)), flow, false});
+        for (int request = 0; request < this->options.mixes[mix].requests;
+             ++request)
+          this->steps.push(
+              {begin + Spread(whole, asks(this->process.random)), flow, false});
       }
     }
   }
 
-  static Microseconds Spread(std::chrono::duration<double> whole, double share) {
+  static Microseconds Spread(std::chrono::duration<double> whole,
+                             double share) {
     return std::chrono::duration_cast<Microseconds>(whole * share);
   }
 
@@ -171,8 +184,9 @@
       this->steps.pop();
       LoadFlow& flow = this->flows[step.flow];
       if (step.opens) {
-        flow.handle = this->process.caller.OpenFlow(now, this->options.mixes[flow.mix].address, now + kOpenPatience,
-                                                    this->process.out);
+        flow.handle = this->process.caller.OpenFlow(
+            now, this->options.mixes[flow.mix].address, now + kOpenPatience,
+            this->process.out);
         this->by_handle[flow.handle] = step.flow;
       } else {
         --flow.unsent;
@@ -188,13 +202,15 @@
     std::exponential_distribution<double> busy(1.0);
     constexpr double kMostBusyMeans = 4;
     WorkOrder order;
-    order.tag = std::to_string(this->options.seed) + "-" + std::to_string(++this->tags);
+    order.tag =
+        std::to_string(this->options.seed) + "-" + std::to_string(++this->tags);
     order.service = mix.service;
     order.parts = mix.parts;
     order.busy = std::chrono::duration_cast<Microseconds>(
         mix.busy * std::min(busy(this->process.random), kMostBusyMeans));
-    const RequestKey key = this->process.caller.Send(now, flow.handle, ClassIdOf(mix.work_class), now + mix.deadline,
-                                                     FormatOrder(order), this->process.out);
+    const RequestKey key = this->process.caller.Send(
+        now, flow.handle, ClassIdOf(mix.work_class), now + mix.deadline,
+        FormatOrder(order), this->process.out);
     ++flow.open;
     this->requests[key] = {index, order};
   }
@@ -217,26 +233,36 @@
     const LoadMix& mix = this->options.mixes[flow.mix];
     const Outcome outcome = OutcomeOf(event.code);
     const bool answered = outcome == Outcome::kAnswered;
-    this->record << "event=request tag=" << request.order.tag << " class=" << mix.work_class << " service=" << mix.service
-                 << " idempotent=" << (mix.idempotent ? "yes" : "no") << " flow=" << event.flow.value
-                 << " number=" << event.number.value << " at=" << ToWire(ReadClock())
-                 << " latency_us=" << event.latency.count() << " attempts=" << event.attempts
-                 << " code=" << ToString(event.code) << " outcome=" << ToWord(outcome)
-                 << " check=" << (answered ? ToWord(CheckAnswer(request.order, event.answer)) : "none") << "\n";
+    this->record << "event=request tag=" << request.order.tag
+                 << " class=" << mix.work_class << " service=" << mix.service
+                 << " idempotent=" << (mix.idempotent ? "yes" : "no")
+                 << " flow=" << event.flow.value
+                 << " number=" << event.number.value
+                 << " at=" << ToWire(ReadClock())
+                 << " latency_us=" << event.latency.count()
+                 << " attempts=" << event.attempts
+                 << " code=" << ToString(event.code)
+                 << " outcome=" << ToWord(outcome) << " check="
+                 << (answered ? ToWord(CheckAnswer(request.order, event.answer))
+                              : "none")
+                 << "\n";
     --flow.open;
     flow.last_answered = answered;
     ++this->ends[event.code];
     if (flow.unsent > 0 || flow.open > 0)
       return;
-    // A flow whose last request got no answer may still be sound: it is asked once more.
+    // A flow whose last request got no answer may still be sound: it is asked
+    // once more.
     if (!answered && !flow.follow_up) {
       flow.follow_up = true;
       this->Ask(ReadClock(), index);
       return;
     }
-    this->record << "event=flow flow=" << event.flow.value << " class=" << mix.work_class << "\n";
+    this->record << "event=flow flow=" << event.flow.value
+                 << " class=" << mix.work_class << "\n";
     if (!answered)
-      this->record << "event=flow_broken flow=" << event.flow.value << " class=" << mix.work_class << "\n";
+      this->record << "event=flow_broken flow=" << event.flow.value
+                   << " class=" << mix.work_class << "\n";
   }
 
   void Report() {
@@ -258,7 +284,9 @@
 };
 
 /** Sets one value of a mix; false where the key or the value is none. */
-bool SetMixValue(LoadMix& mix, const std::string& key, const std::string& value) {
+bool SetMixValue(LoadMix& mix,
+                 const std::string& key,
+                 const std::string& value) {
   const auto number = [&value](auto set) {
     int parsed = 0;
     const char* const last = value.data() + value.size();
@@ -289,7 +317,8 @@
   if (key == "requests")
     return number([&mix](int parsed) { mix.requests = parsed; });
   if (key == "parts")
-    return number([&mix](int parsed) { mix.parts = static_cast<uint32_t>(parsed); });
+    return number(
+        [&mix](int parsed) { mix.parts = static_cast<uint32_t>(parsed); });
   if (key == "busy_ms")
     return number([&mix](int parsed) { mix.busy = Milliseconds(parsed); });
   if (key == "deadline_ms")
@@ -305,12 +334,16 @@
   std::string pair;
   while (std::getline(pairs, pair, ';')) {
     const size_t equals = pair.find('=');
-    const bool taken = equals != std::string::npos && SetMixValue(mix, pair.substr(0, equals), pair.substr(equals + 1));
+    const bool taken =
+        equals != std::string::npos &&
+        SetMixValue(mix, pair.substr(0, equals), pair.substr(equals + 1));
     if (!taken)
       return Error{ResultCode::kUsage, "--mix: " + pair + " is not understood"};
   }
-  if (mix.address == Endpoint{} || mix.work_class.empty() || mix.service.empty())
-    return Error{ResultCode::kUsage, "--mix: service, address and class are needed"};
+  if (mix.address == Endpoint{} || mix.work_class.empty() ||
+      mix.service.empty())
+    return Error{ResultCode::kUsage,
+                 "--mix: service, address and class are needed"};
   return mix;
 }
 
@@ -326,17 +359,21 @@
     return Complain(opened.error());
   const TimePoint now = ReadClock();
   const TimePoint deadline = now + call.deadline;
-  const FlowHandle flow = process.caller.OpenFlow(now, call.service, deadline, process.out);
-  process.caller.Send(now, flow, ClassIdOf(call.work_class), deadline, call.text, process.out);
+  const FlowHandle flow =
+      process.caller.OpenFlow(now, call.service, deadline, process.out);
+  process.caller.Send(now, flow, ClassIdOf(call.work_class), deadline,
+                      call.text, process.out);
   while (true) {
     process.Step();
     for (const CallerEvent& event : process.TakeEvents()) {
       if (event.kind != CallerEvent::Kind::kFinished)
         continue;
       std::cout << event.answer << (event.answer.empty() ? "" : "\n");
-      const std::string told = std::string("the request ended as ") + ToString(event.code) + ": " +
+      const std::string told = std::string("the request ended as ") +
+                               ToString(event.code) + ": " +
                                ToWord(OutcomeOf(event.code));
-      return event.code == ResultCode::kOk ? ResultCode::kOk : Complain({event.code, told});
+      return event.code == ResultCode::kOk ? ResultCode::kOk
+                                           : Complain({event.code, told});
     }
   }
 }
--- a/src/shell/load_base.h
+++ b/src/shell/load_base.h
@@ -1,4 +1,5 @@
-/** @file load_base.h The caller's process: one request, or a load of many flows from one source address. */
+/** @file load_base.h The caller's process: one request, or a load of many flows
+ * from one source address. */
 
 #ifndef CUMINVANE_SHELL_LOAD_BASE_H_
 #define CUMINVANE_SHELL_LOAD_BASE_H_
--- a/src/shell/log_func.cc
+++ b/src/shell/log_func.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time_types.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
@@ -15,7 +16,6 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
-#include <boost/core/null_deleter.hpp>
 #include <boost/make_shared.hpp>
 #include <iostream>
 
@@ -26,7 +26,8 @@
 
 namespace log = boost::log;
 
-/** Lines waiting to be written; more are dropped, so that a slow reader of the log never slows packets. */
+/** Lines waiting to be written; more are dropped, so that a slow reader of the
+ * log never slows packets. */
 constexpr size_t kQueueLines = 65536;
 
 using Sink = log::sinks::asynchronous_sink<
@@ -58,7 +59,8 @@
 }
 
 bool IsWithinInputLimit(TimePoint now) {
-  const int64_t second = std::chrono::duration_cast<Seconds>(now.time_since_epoch()).count();
+  const int64_t second =
+      std::chrono::duration_cast<Seconds>(now.time_since_epoch()).count();
   if (input_second.exchange(second) != second)
     input_lines = 0;
   return input_lines++ < input_limit;
@@ -66,20 +68,25 @@
 
 }  // namespace
 
-void StartLog(const std::string& process, const LogLevels& levels, int input_lines_per_s) {
+void StartLog(const std::string& process,
+              const LogLevels& levels,
+              int input_lines_per_s) {
   process_name = process;
   input_limit = input_lines_per_s;
   for (const Topic topic : kTopics)
     SetLogLevel(topic, levels.least.at(static_cast<size_t>(topic)));
-  log::core::get()->add_global_attribute("TimeStamp", log::attributes::utc_clock());
+  log::core::get()->add_global_attribute("TimeStamp",
+                                         log::attributes::utc_clock());
   auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
   auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(
-      log::expressions::stream << "time="
-                               << log::expressions::format_date_time<boost::posix_time::ptime>(
-                                      "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
-                               << " " << log::expressions::smessage);
+      log::expressions::stream
+      << "time="
+      << log::expressions::format_date_time<boost::posix_time::ptime>(
+             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+      << " " << log::expressions::smessage);
   log::core::get()->add_sink(sink);
   TheSink().sink = sink;
 }
@@ -91,7 +98,8 @@
 LogLevels CurrentLogLevels() {
   LogLevels levels;
   for (const Topic topic : kTopics)
-    levels.least.at(static_cast<size_t>(topic)) = least_severities.at(static_cast<size_t>(topic));
+    levels.least.at(static_cast<size_t>(topic)) =
+        least_severities.at(static_cast<size_t>(topic));
   return levels;
 }
 
@@ -111,8 +119,9 @@
   if (!IsLogged(topic, severity))
     return;
   static log::sources::logger_mt logger;
-  BOOST_LOG(logger) << "process=" << process_name << " topic=" << ToString(topic) << " severity=" << ToString(severity)
-                    << " " << pairs;
+  BOOST_LOG(logger) << "process=" << process_name
+                    << " topic=" << ToString(topic)
+                    << " severity=" << ToString(severity) << " " << pairs;
 }
 
 }  // namespace cuminvane
--- a/src/shell/log_func.h
+++ b/src/shell/log_func.h
@@ -1,4 +1,5 @@
-/** @file log_func.h Writes log lines of key=value pairs through Boost.Log, with a level for each topic. */
+/** @file log_func.h Writes log lines of key=value pairs through Boost.Log, with
+ * a level for each topic. */
 
 #ifndef CUMINVANE_SHELL_LOG_FUNC_H_
 #define CUMINVANE_SHELL_LOG_FUNC_H_
@@ -16,9 +17,12 @@
  * @param levels Least severity by topic.
  * @param input_lines_per_s Most lines of bad input in a second.
  */
-void StartLog(const std::string& process, const LogLevels& levels, int input_lines_per_s);
+void StartLog(const std::string& process,
+              const LogLevels& levels,
+              int input_lines_per_s);
 
-/** Changes the least severity of one topic; takes effect at once in all threads. */
+/** Changes the least severity of one topic; takes effect at once in all
+ * threads. */
 void SetLogLevel(Topic topic, Severity least);
 
 /** @return The levels in force. */
--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -19,7 +19,8 @@
 LatencyHistogram MakeLatencyHistogram() {
   namespace histogram = boost::histogram;
   return histogram::make_histogram(
-      histogram::axis::regular<double, histogram::axis::transform::log>(kLatencyBins, kLeastMs, kMostMs));
+      histogram::axis::regular<double, histogram::axis::transform::log>(
+          kLatencyBins, kLeastMs, kMostMs));
 }
 
 const char* ToWord(Lane lane) {
@@ -46,7 +47,8 @@
   return json;
 }
 
-/** Calls `use` with each bin's index and count; -1 is below the axis, its size is above it. */
+/** Calls `use` with each bin's index and count; -1 is below the axis, its size
+ * is above it. */
 template <class Use>
 void ForEachBin(const LatencyHistogram& histogram, Use use) {
   const int bins = histogram.axis().size();
@@ -92,10 +94,15 @@
     Add(this->TrafficOf(datagram.lane).sent, {1, datagram.bytes.size()});
   }
   for (const Sample& sample : out.samples) {
-    const auto known = this->classes.try_emplace(sample.work_class, ClassMetrics{MakeLatencyHistogram(), {}}).first;
+    const auto known =
+        this->classes
+            .try_emplace(sample.work_class,
+                         ClassMetrics{MakeLatencyHistogram(), {}})
+            .first;
     ++known->second.ends[sample.code];
     if (sample.code == ResultCode::kOk)
-      known->second.answered_ms(std::chrono::duration<double, std::milli>(sample.latency).count());
+      known->second.answered_ms(
+          std::chrono::duration<double, std::milli>(sample.latency).count());
   }
 }
 
@@ -119,7 +126,9 @@
     this->traffic[lane].unsent += other.traffic[lane].unsent;
   }
   for (const auto& [id, metrics] : other.classes) {
-    const auto known = this->classes.try_emplace(id, ClassMetrics{MakeLatencyHistogram(), {}}).first;
+    const auto known =
+        this->classes.try_emplace(id, ClassMetrics{MakeLatencyHistogram(), {}})
+            .first;
     known->second.answered_ms += metrics.answered_ms;
     for (const auto& [code, count] : metrics.ends)
       known->second.ends[code] += count;
@@ -143,7 +152,8 @@
   }
   for (const auto& [id, metrics] : this->classes) {
     const WorkClass* const work = FindClass(config, id);
-    Json::Value& entry = json["classes"][work == nullptr ? ToString(id) : work->name];
+    Json::Value& entry =
+        json["classes"][work == nullptr ? ToString(id) : work->name];
     for (const auto& [code, count] : metrics.ends)
       entry["ends"][ToString(code)] = static_cast<Json::UInt64>(count);
     constexpr double kP50 = 0.5;
--- a/src/shell/metrics_base.h
+++ b/src/shell/metrics_base.h
@@ -1,12 +1,13 @@
-/** @file metrics_base.h Counts decisions and measures answer times; one per thread, merged for status. */
+/** @file metrics_base.h Counts decisions and measures answer times; one per
+ * thread, merged for status. */
 
 #ifndef CUMINVANE_SHELL_METRICS_BASE_H_
 #define CUMINVANE_SHELL_METRICS_BASE_H_
 
+#include <json/json.h>
 #include <array>
 #include <boost/histogram.hpp>
 #include <cstdint>
-#include <json/json.h>
 #include <map>
 #include <mutex>
 #include <string>
@@ -43,9 +44,9 @@
 };
 
 /** Answer times of one class, in milliseconds on a logarithmic axis. */
-using LatencyHistogram =
-    decltype(boost::histogram::make_histogram(boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(
-        1, 1.0, 2.0)));
+using LatencyHistogram = decltype(boost::histogram::make_histogram(
+    boost::histogram::axis::
+        regular<double, boost::histogram::axis::transform::log>(1, 1.0, 2.0)));
 
 /** What one class of work came to. */
 struct ClassMetrics {
@@ -70,7 +71,9 @@
   Json::Value ToJson(const Config& config) const;
 
  private:
-  LaneTraffic& TrafficOf(Lane lane) { return this->traffic[static_cast<size_t>(lane)]; }
+  LaneTraffic& TrafficOf(Lane lane) {
+    return this->traffic[static_cast<size_t>(lane)];
+  }
 
   std::map<EventKey, uint64_t> events;
   mutable std::mutex mutex;
--- a/src/shell/platform_base.cc
+++ b/src/shell/platform_base.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /** A value may have a megabyte; more is refused. */
-constexpr size_t kValueLimit = 1024 * 1024;
+constexpr size_t kValueLimit = 1 << 20;
 /** Time beyond the wait after which the platform is taken to be gone. */
 constexpr Milliseconds kAnswerMargin{2000};
 constexpr long kHttpOk = 200;
@@ -36,17 +36,21 @@
                                      uint64_t after,
                                      Milliseconds wait,
                                      const std::atomic<bool>& stop) {
-  const std::unique_ptr<CURL, void (*)(CURL*)> curl(curl_easy_init(), curl_easy_cleanup);
+  const std::unique_ptr<CURL, void (*)(CURL*)> curl(curl_easy_init(),
+                                                    curl_easy_cleanup);
   if (curl == nullptr)
     return Error{ResultCode::kPlatformUnreachable, "no HTTP client"};
-  const std::string url = "http://" + ToString(platform) + "/" + key + "?after=" + std::to_string(after) +
+  const std::string url = "http://" + ToString(platform) + "/" + key +
+                          "?after=" + std::to_string(after) +
                           "&wait_ms=" + std::to_string(wait.count());
   PlatformAnswer answer;
   curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl.get(), CURLOPT_PROXY, "");
   curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, static_cast<long>((wait + kAnswerMargin).count()));
-  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(kAnswerMargin.count()));
+  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS,
+                   static_cast<long>((wait + kAnswerMargin).count()));
+  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(kAnswerMargin.count()));
   curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, TakeBytes);
   curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &answer.text);
   curl_easy_setopt(curl.get(), CURLOPT_NOPROGRESS, 0L);
@@ -60,7 +64,8 @@
   if (status == kHttpNotModified)
     return PlatformAnswer{};
   if (status != kHttpOk)
-    return Error{ResultCode::kPlatformUnreachable, "HTTP status " + std::to_string(status)};
+    return Error{ResultCode::kPlatformUnreachable,
+                 "HTTP status " + std::to_string(status)};
   answer.changed = true;
   return answer;
 }
--- a/src/shell/platform_base.h
+++ b/src/shell/platform_base.h
@@ -1,4 +1,5 @@
-/** @file platform_base.h Reads and watches one key of the platform's configuration service. */
+/** @file platform_base.h Reads and watches one key of the platform's
+ * configuration service. */
 
 #ifndef CUMINVANE_SHELL_PLATFORM_BASE_H_
 #define CUMINVANE_SHELL_PLATFORM_BASE_H_
@@ -25,7 +26,8 @@
  * Waits for a version of a key other than the one named.
  * @param platform Address of the service.
  * @param key Name of the key.
- * @param after Version in hand, 0 for none; the platform answers at once with any other version.
+ * @param after Version in hand, 0 for none; the platform answers at once with
+ * any other version.
  * @param wait Longest wait.
  * @param stop Ends the wait when it becomes true.
  * @return The answer, or kPlatformUnreachable.
--- a/src/shell/program_func.cc
+++ b/src/shell/program_func.cc
@@ -10,8 +10,12 @@
 
 namespace cuminvane {
 
-int RunProgram(int argc, char** argv, cxxopts::Options& options, const ProgramBody& body) {
-  options.add_options()("h,help", "Print this help")("version", "Print the version");
+int RunProgram(int argc,
+               char** argv,
+               cxxopts::Options& options,
+               const ProgramBody& body) {
+  options.add_options()("h,help", "Print this help")("version",
+                                                     "Print the version");
   try {
     const cxxopts::ParseResult parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0) {
@@ -23,10 +27,12 @@
       return 0;
     }
     if (sodium_init() < 0)
-      return ExitCodeOf(Complain({ResultCode::kUsage, "libsodium can't be used here"}));
+      return ExitCodeOf(
+          Complain({ResultCode::kUsage, "libsodium can't be used here"}));
     return ExitCodeOf(body(parsed));
   } catch (const cxxopts::exceptions::exception& failure) {
-    return ExitCodeOf(Complain({ResultCode::kUsage, std::string(failure.what()) + "; see --help"}));
+    return ExitCodeOf(Complain(
+        {ResultCode::kUsage, std::string(failure.what()) + "; see --help"}));
   }
 }
 
@@ -39,7 +45,8 @@
 }
 
 ResultCode Complain(const Error& error) {
-  std::cerr << "error=" << ToString(error.code) << " code=" << static_cast<int>(error.code) << " message=\""
+  std::cerr << "error=" << ToString(error.code)
+            << " code=" << static_cast<int>(error.code) << " message=\""
             << error.message << "\"\n";
   return error.code;
 }
--- a/src/shell/program_func.h
+++ b/src/shell/program_func.h
@@ -1,4 +1,5 @@
-/** @file program_func.h What every program does first: options, --help, --version, reading files, exit codes. */
+/** @file program_func.h What every program does first: options, --help,
+ * --version, reading files, exit codes. */
 
 #ifndef CUMINVANE_SHELL_PROGRAM_FUNC_H_
 #define CUMINVANE_SHELL_PROGRAM_FUNC_H_
@@ -16,7 +17,8 @@
 inline constexpr const char* kProductVersion = "0.1.0";
 
 /** What a program does with its parsed options; returns its result code. */
-using ProgramBody = std::function<ResultCode(const cxxopts::ParseResult& options)>;
+using ProgramBody =
+    std::function<ResultCode(const cxxopts::ParseResult& options)>;
 
 /**
  * Adds --help and --version, parses the command line and runs the program.
@@ -26,7 +28,10 @@
  * @param body What it does.
  * @return The exit code.
  */
-int RunProgram(int argc, char** argv, cxxopts::Options& options, const ProgramBody& body);
+int RunProgram(int argc,
+               char** argv,
+               cxxopts::Options& options,
+               const ProgramBody& body);
 
 /** @return The file's text, or kFileUnreadable. */
 Result<std::string> ReadFile(const std::string& path);
--- a/src/shell/socket_base.cc
+++ b/src/shell/socket_base.cc
@@ -11,7 +11,8 @@
 constexpr int kKernelBuffer = 4 * 1024 * 1024;
 
 Error SocketError(const Endpoint& address, const asio::error_code& failure) {
-  return {ResultCode::kSocketFailure, ToString(address) + ": " + failure.message()};
+  return {ResultCode::kSocketFailure,
+          ToString(address) + ": " + failure.message()};
 }
 
 }  // namespace
@@ -32,8 +33,10 @@
     return SocketError(address, failure);
   // A smaller buffer than asked for still works.
   asio::error_code ignored;
-  socket.set_option(asio::socket_base::receive_buffer_size(kKernelBuffer), ignored);
-  socket.set_option(asio::socket_base::send_buffer_size(kKernelBuffer), ignored);
+  socket.set_option(asio::socket_base::receive_buffer_size(kKernelBuffer),
+                    ignored);
+  socket.set_option(asio::socket_base::send_buffer_size(kKernelBuffer),
+                    ignored);
   socket.bind(ToAsio(address), failure);
   if (failure)
     return SocketError(address, failure);
@@ -60,7 +63,8 @@
                                         Endpoint& from) {
   asio::ip::udp::endpoint sender;
   asio::error_code failure;
-  const size_t length = socket.receive_from(asio::buffer(buffer), sender, 0, failure);
+  const size_t length =
+      socket.receive_from(asio::buffer(buffer), sender, 0, failure);
   if (failure)
     return std::nullopt;
   from = FromAsio(sender);
@@ -69,7 +73,8 @@
 
 bool SendTo(UdpSocket& socket, const Endpoint& to, std::string_view bytes) {
   asio::error_code failure;
-  socket.send_to(asio::buffer(bytes.data(), bytes.size()), ToAsio(to), 0, failure);
+  socket.send_to(asio::buffer(bytes.data(), bytes.size()), ToAsio(to), 0,
+                 failure);
   return !failure;
 }
 
--- a/src/shell/socket_base.h
+++ b/src/shell/socket_base.h
@@ -1,4 +1,5 @@
-/** @file socket_base.h UDP sockets: bound once, read by several threads, each through its own descriptor. */
+/** @file socket_base.h UDP sockets: bound once, read by several threads, each
+ * through its own descriptor. */
 
 #ifndef CUMINVANE_SHELL_SOCKET_BASE_H_
 #define CUMINVANE_SHELL_SOCKET_BASE_H_
@@ -16,7 +17,8 @@
 
 using UdpSocket = asio::ip::udp::socket;
 
-/** Room for one datagram and one byte more, so that an oversized one is noticed. */
+/** Room for one datagram and one byte more, so that an oversized one is
+ * noticed. */
 using ReceiveBuffer = std::array<char, kDatagramLimit + 1>;
 
 /** @return The endpoint in the library's form. */
@@ -44,7 +46,9 @@
  * @param from Receives the sender.
  * @return The datagram, nothing where none is waiting.
  */
-std::optional<std::string_view> Receive(UdpSocket& socket, ReceiveBuffer& buffer, Endpoint& from);
+std::optional<std::string_view> Receive(UdpSocket& socket,
+                                        ReceiveBuffer& buffer,
+                                        Endpoint& from);
 
 /** @return Whether the socket took the datagram. */
 bool SendTo(UdpSocket& socket, const Endpoint& to, std::string_view bytes);
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -27,7 +27,8 @@
   return members;
 }
 
-Json::Value BackendsToJson(const std::map<VmId, BackendState>& backends, TimePoint now) {
+Json::Value BackendsToJson(const std::map<VmId, BackendState>& backends,
+                           TimePoint now) {
   Json::Value list(Json::arrayValue);
   for (const auto& [vm, state] : backends) {
     Json::Value entry;
@@ -70,7 +71,8 @@
   json["metrics"] = metrics.ToJson(*board.config.value);
   const LogLevels levels = CurrentLogLevels();
   for (const Topic topic : kTopics)
-    json["log"][ToString(topic)] = ToString(levels.least.at(static_cast<size_t>(topic)));
+    json["log"][ToString(topic)] =
+        ToString(levels.least.at(static_cast<size_t>(topic)));
   return WriteJson(json);
 }
 
--- a/src/standin/backend_base.cc
+++ b/src/standin/backend_base.cc
@@ -47,7 +47,8 @@
     this->OnRun(now, from, run.value(), out);
   if (const Result<CancelRun> cancel = Decode<CancelRun>(bytes, header.value()))
     this->OnCancel(now, from, cancel.value(), out);
-  if (const Result<NeedRunParts> question = Decode<NeedRunParts>(bytes, header.value()))
+  if (const Result<NeedRunParts> question =
+          Decode<NeedRunParts>(bytes, header.value()))
     this->OnNeedParts(from, question.value(), out);
 }
 
@@ -110,11 +111,15 @@
   if (order->service != this->options.service)
     this->Note(BackendEvent::Kind::kWrongService, now, run.run, job, {});
   if (this->draining || this->queue.size() >= this->options.queue_limit) {
-    // Remembered as withdrawn, so that a copy of the datagram is not run after it was refused.
+    // Remembered as withdrawn, so that a copy of the datagram is not run after
+    // it was refused.
     job.state = State::kWithdrawn;
     this->memory.emplace(job.forget_at, run.run);
     this->jobs.emplace(run.run, job);
-    this->Refuse(now, run.run, from, this->draining ? ResultCode::kBackendDraining : ResultCode::kOverloaded, out);
+    this->Refuse(
+        now, run.run, from,
+        this->draining ? ResultCode::kBackendDraining : ResultCode::kOverloaded,
+        out);
     return;
   }
   this->Note(BackendEvent::Kind::kAccepted, now, run.run, job, {});
@@ -149,7 +154,8 @@
     job.state = State::kWithdrawn;
     this->Note(BackendEvent::Kind::kCancelled, now, cancel.run, job, {});
   }
-  const bool started = job.state == State::kRunning || job.state == State::kDone;
+  const bool started =
+      job.state == State::kRunning || job.state == State::kDone;
   Send(from, CancelReply{cancel.run, started, this->Load()}, out);
 }
 
@@ -157,7 +163,8 @@
                           const NeedRunParts& question,
                           Output& out) {
   const auto known = this->jobs.find(question.run);
-  if (question.incarnation != this->options.incarnation || known == this->jobs.end()) {
+  if (question.incarnation != this->options.incarnation ||
+      known == this->jobs.end()) {
     Send(from, RunLost{question.run, this->Load()}, out);
     return;
   }
@@ -167,7 +174,10 @@
     return;
   }
   if (job.state == State::kWithdrawn || job.state == State::kExpired) {
-    Send(from, Refused{question.run, static_cast<uint16_t>(ResultCode::kCancelled), this->Load()}, out);
+    Send(from,
+         Refused{question.run, static_cast<uint16_t>(ResultCode::kCancelled),
+                 this->Load()},
+         out);
     return;
   }
   std::vector<uint32_t> wanted = question.missing;
@@ -175,7 +185,8 @@
     wanted.resize(job.order.parts);
     std::iota(wanted.begin(), wanted.end(), 0);
   }
-  std::erase_if(wanted, [&job](uint32_t part) { return part >= job.order.parts; });
+  std::erase_if(wanted,
+                [&job](uint32_t part) { return part >= job.order.parts; });
   this->SendAnswer(question.run, job, wanted, out);
 }
 
@@ -201,8 +212,11 @@
                          const std::vector<uint32_t>& parts,
                          Output& out) const {
   for (const uint32_t index : parts) {
-    const std::string bytes = MakeAnswerPart(this->options.service, job.order.tag, index, job.order.parts);
-    Send(job.balancer, RunPart{run, index, job.order.parts, this->Load(), MakeBlob(bytes)}, out);
+    const std::string bytes = MakeAnswerPart(
+        this->options.service, job.order.tag, index, job.order.parts);
+    Send(job.balancer,
+         RunPart{run, index, job.order.parts, this->Load(), MakeBlob(bytes)},
+         out);
   }
 }
 
@@ -224,7 +238,8 @@
                    RunId run,
                    const Job& job,
                    Microseconds busy) {
-  this->events.push_back({kind, now, run, job.flow, job.number, job.order.tag, busy});
+  this->events.push_back(
+      {kind, now, run, job.flow, job.number, job.order.tag, busy});
 }
 
 LoadReport Backend::Load() const {
--- a/src/standin/backend_base.h
+++ b/src/standin/backend_base.h
@@ -1,4 +1,5 @@
-/** @file backend_base.h A stand-in backend server: slots, a queue, drain, shedding, cancellation, deadlines. */
+/** @file backend_base.h A stand-in backend server: slots, a queue, drain,
+ * shedding, cancellation, deadlines. */
 
 #ifndef CUMINVANE_STANDIN_BACKEND_BASE_H_
 #define CUMINVANE_STANDIN_BACKEND_BASE_H_
@@ -29,7 +30,14 @@
 
 /** One line of its own record of what it did. */
 struct BackendEvent {
-  enum class Kind : uint8_t { kAccepted, kStarted, kFinished, kRefused, kCancelled, kWrongService };
+  enum class Kind : uint8_t {
+    kAccepted,
+    kStarted,
+    kFinished,
+    kRefused,
+    kCancelled,
+    kWrongService
+  };
 
   Kind kind = Kind::kAccepted;
   TimePoint at;
@@ -48,15 +56,20 @@
 /**
  * A backend server that does what orders ask.
  *
- * It runs a run identifier at most once, remembers a withdrawal until the run's deadline, and starts nothing after
- * the deadline: that is what the protocol asks of backend servers, and no more.
+ * It runs a run identifier at most once, remembers a withdrawal until the run's
+ * deadline, and starts nothing after the deadline: that is what the protocol
+ * asks of backend servers, and no more.
  */
 class Backend {
  public:
   explicit Backend(const BackendOptions& options) : options(options) {}
 
-  /** Handles a datagram from a balancer; answers go to `from` by the backend lane. */
-  void OnPacket(TimePoint now, const Endpoint& from, std::string_view bytes, Output& out);
+  /** Handles a datagram from a balancer; answers go to `from` by the backend
+   * lane. */
+  void OnPacket(TimePoint now,
+                const Endpoint& from,
+                std::string_view bytes,
+                Output& out);
 
   /** Finishes and starts work that is due. */
   void Tick(TimePoint now, Output& out);
@@ -86,12 +99,28 @@
   };
 
   void OnRun(TimePoint now, const Endpoint& from, const Run& run, Output& out);
-  void OnCancel(TimePoint now, const Endpoint& from, const CancelRun& cancel, Output& out);
-  void OnNeedParts(const Endpoint& from, const NeedRunParts& question, Output& out);
+  void OnCancel(TimePoint now,
+                const Endpoint& from,
+                const CancelRun& cancel,
+                Output& out);
+  void OnNeedParts(const Endpoint& from,
+                   const NeedRunParts& question,
+                   Output& out);
   void StartNext(TimePoint now, Output& out);
-  void SendAnswer(RunId run, const Job& job, const std::vector<uint32_t>& parts, Output& out) const;
-  void Refuse(TimePoint now, RunId run, const Endpoint& to, ResultCode code, Output& out);
-  void Note(BackendEvent::Kind kind, TimePoint now, RunId run, const Job& job, Microseconds busy);
+  void SendAnswer(RunId run,
+                  const Job& job,
+                  const std::vector<uint32_t>& parts,
+                  Output& out) const;
+  void Refuse(TimePoint now,
+              RunId run,
+              const Endpoint& to,
+              ResultCode code,
+              Output& out);
+  void Note(BackendEvent::Kind kind,
+            TimePoint now,
+            RunId run,
+            const Job& job,
+            Microseconds busy);
   LoadReport Load() const;
 
   BackendOptions options;
--- a/src/standin/backend_role.cc
+++ b/src/standin/backend_role.cc
@@ -20,7 +20,9 @@
 /** Socket, timer and record file around the backend server. */
 class BackendProcess : public std::enable_shared_from_this<BackendProcess> {
  public:
-  BackendProcess(asio::io_context& context, const BackendOptions& options, const std::string& record_path)
+  BackendProcess(asio::io_context& context,
+                 const BackendOptions& options,
+                 const std::string& record_path)
       : context(context),
         socket(context),
         timer(context),
@@ -43,32 +45,36 @@
 
  private:
   void WaitRead() {
-    this->socket.async_wait(UdpSocket::wait_read, [self = this->shared_from_this()](const asio::error_code& failure) {
-      if (failure)
-        return;
-      Endpoint from;
-      while (const auto bytes = Receive(self->socket, self->buffer, from)) {
-        self->backend.OnPacket(ReadClock(), from, *bytes, self->out);
-        self->Carry();
-      }
-      self->WaitRead();
-    });
+    this->socket.async_wait(
+        UdpSocket::wait_read,
+        [self = this->shared_from_this()](const asio::error_code& failure) {
+          if (failure)
+            return;
+          Endpoint from;
+          while (const auto bytes = Receive(self->socket, self->buffer, from)) {
+            self->backend.OnPacket(ReadClock(), from, *bytes, self->out);
+            self->Carry();
+          }
+          self->WaitRead();
+        });
   }
 
   void WaitTick() {
     this->timer.expires_after(kTickInterval);
-    this->timer.async_wait([self = this->shared_from_this()](const asio::error_code& failure) {
-      if (failure)
-        return;
-      self->backend.Tick(ReadClock(), self->out);
-      self->Carry();
-      self->WaitTick();
-    });
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const asio::error_code& failure) {
+          if (failure)
+            return;
+          self->backend.Tick(ReadClock(), self->out);
+          self->Carry();
+          self->WaitTick();
+        });
   }
 
   /** SIGUSR1 begins a drain; the other signals end the process. */
   void WaitSignal() {
-    this->signals.async_wait([self = this->shared_from_this()](const asio::error_code& failure, int number) {
+    this->signals.async_wait([self = this->shared_from_this()](
+                                 const asio::error_code& failure, int number) {
       if (failure)
         return;
       if (number == SIGUSR1) {
@@ -87,9 +93,12 @@
       SendTo(this->socket, datagram.to, datagram.bytes);
     this->out.Clear();
     for (const BackendEvent& event : this->backend.TakeEvents()) {
-      this->record << "event=" << ToString(event.kind) << " at=" << ToWire(event.at) << " vm=" << this->options.vm.value
-                   << " service=" << this->options.service << " run=" << event.run.value
-                   << " flow=" << event.flow.value << " number=" << event.number.value << " tag=" << event.tag
+      this->record << "event=" << ToString(event.kind)
+                   << " at=" << ToWire(event.at)
+                   << " vm=" << this->options.vm.value
+                   << " service=" << this->options.service
+                   << " run=" << event.run.value << " flow=" << event.flow.value
+                   << " number=" << event.number.value << " tag=" << event.tag
                    << " busy=" << event.busy.count() << "\n";
     }
     this->record.flush();
@@ -109,7 +118,8 @@
 }  // namespace
 
 ResultCode RunBackend(const cxxopts::ParseResult& options) {
-  const std::optional<Endpoint> listen = ParseEndpoint(options["listen"].as<std::string>());
+  const std::optional<Endpoint> listen =
+      ParseEndpoint(options["listen"].as<std::string>());
   if (!listen)
     return Complain({ResultCode::kUsage, "--listen is no A.B.C.D:PORT"});
   BackendOptions backend;
@@ -119,7 +129,8 @@
   backend.slots = options["slots"].as<uint32_t>();
   backend.queue_limit = options["queue"].as<uint32_t>();
   asio::io_context context(1);
-  const auto process = std::make_shared<BackendProcess>(context, backend, options["record"].as<std::string>());
+  const auto process = std::make_shared<BackendProcess>(
+      context, backend, options["record"].as<std::string>());
   const Result<void> opened = process->Open(*listen);
   if (!opened)
     return Complain(opened.error());
--- a/src/standin/fabric_role.cc
+++ b/src/standin/fabric_role.cc
@@ -1,4 +1,5 @@
-/** @file fabric_role.cc The stand-in fabric: hands any packet to any balancer, and loses, copies and delays some. */
+/** @file fabric_role.cc The stand-in fabric: hands any packet to any balancer,
+ * and loses, copies and delays some. */
 
 #include <asio.hpp>
 #include <atomic>
@@ -38,7 +39,8 @@
   Fabric(asio::io_context& context, const FabricFaults& faults, uint64_t seed)
       : context(context), uplink(context), faults(faults), random(seed) {}
 
-  Result<void> Open(const std::vector<Endpoint>& services, const Endpoint& uplink_address) {
+  Result<void> Open(const std::vector<Endpoint>& services,
+                    const Endpoint& uplink_address) {
     BOOST_OUTCOME_TRY(opened, OpenUdp(this->context, uplink_address));
     this->uplink = std::move(opened);
     for (const Endpoint& service : services) {
@@ -74,34 +76,42 @@
   };
 
   void WaitUplink() {
-    this->uplink.async_wait(UdpSocket::wait_read, [self = this->shared_from_this()](const asio::error_code& failure) {
-      if (failure)
-        return;
-      Endpoint from;
-      while (const auto bytes = Receive(self->uplink, self->buffer, from))
-        self->FromBalancer(*bytes);
-      self->WaitUplink();
-    });
+    this->uplink.async_wait(
+        UdpSocket::wait_read,
+        [self = this->shared_from_this()](const asio::error_code& failure) {
+          if (failure)
+            return;
+          Endpoint from;
+          while (const auto bytes = Receive(self->uplink, self->buffer, from))
+            self->FromBalancer(*bytes);
+          self->WaitUplink();
+        });
   }
 
   void WaitService(ServiceSocket& service) {
-    service.socket.async_wait(UdpSocket::wait_read,
-                              [self = this->shared_from_this(), &service](const asio::error_code& failure) {
-                                if (failure)
-                                  return;
-                                Endpoint from;
-                                while (const auto bytes = Receive(service.socket, self->buffer, from))
-                                  self->FromCaller(from, service.address, *bytes);
-                                self->WaitService(service);
-                              });
+    service.socket.async_wait(
+        UdpSocket::wait_read, [self = this->shared_from_this(),
+                               &service](const asio::error_code& failure) {
+          if (failure)
+            return;
+          Endpoint from;
+          while (const auto bytes = Receive(service.socket, self->buffer, from))
+            self->FromCaller(from, service.address, *bytes);
+          self->WaitService(service);
+        });
   }
 
-  void FromCaller(const Endpoint& caller, const Endpoint& service, std::string_view bytes) {
-    const std::string wrapped = Encode(FabricPacket{caller, service, MakeBlob(bytes)});
+  void FromCaller(const Endpoint& caller,
+                  const Endpoint& service,
+                  std::string_view bytes) {
+    const std::string wrapped =
+        Encode(FabricPacket{caller, service, MakeBlob(bytes)});
     this->WithFaults([this, wrapped] {
       const std::lock_guard hold(this->mutex);
       if (!this->balancers.empty())
-        SendTo(this->uplink, this->balancers[DrawIndex(this->random, this->balancers.size())], wrapped);
+        SendTo(this->uplink,
+               this->balancers[DrawIndex(this->random, this->balancers.size())],
+               wrapped);
     });
   }
 
@@ -109,12 +119,14 @@
     const Result<Header> header = DecodeHeader(bytes);
     if (!header)
       return;
-    const Result<FabricPacket> packet = Decode<FabricPacket>(bytes, header.value());
+    const Result<FabricPacket> packet =
+        Decode<FabricPacket>(bytes, header.value());
     if (!packet)
       return;
     const Endpoint caller = packet.value().caller;
     const Endpoint service = packet.value().service;
-    this->WithFaults([this, caller, service, payload = std::string(View(packet.value().packet))] {
+    this->WithFaults([this, caller, service,
+                      payload = std::string(View(packet.value().packet))] {
       for (ServiceSocket& candidate : this->services) {
         if (candidate.address == service)
           SendTo(candidate.socket, caller, payload);
@@ -125,7 +137,9 @@
   /** Sends a packet never, once or twice, now or later. */
   template <class Send>
   void WithFaults(Send send) {
-    const int copies = this->Happens(this->faults.loss) ? 0 : this->Happens(this->faults.duplicate) ? 2 : 1;
+    const int copies = this->Happens(this->faults.loss)        ? 0
+                       : this->Happens(this->faults.duplicate) ? 2
+                                                               : 1;
     for (int copy = 0; copy < copies; ++copy) {
       if (!this->Happens(this->faults.reorder)) {
         send();
@@ -134,11 +148,14 @@
       auto timer = std::make_shared<asio::steady_timer>(this->context);
       const auto most = static_cast<size_t>(this->faults.delay.count());
       timer->expires_after(Milliseconds(1 + DrawIndex(this->random, most + 1)));
-      timer->async_wait([timer, send, self = this->shared_from_this()](const asio::error_code&) mutable { send(); });
+      timer->async_wait([timer, send, self = this->shared_from_this()](
+                            const asio::error_code&) mutable { send(); });
     }
   }
 
-  bool Happens(double share) { return std::uniform_real_distribution<double>()(this->random) < share; }
+  bool Happens(double share) {
+    return std::uniform_real_distribution<double>()(this->random) < share;
+  }
 
   asio::io_context& context;
   UdpSocket uplink;
@@ -150,11 +167,15 @@
   std::vector<Endpoint> balancers;
 };
 
-/** Follows the platform's list; a balancer that is leaving gets no more packets. */
-void FollowList(const Endpoint& platform, Fabric& fabric, const std::atomic<bool>& closing) {
+/** Follows the platform's list; a balancer that is leaving gets no more
+ * packets. */
+void FollowList(const Endpoint& platform,
+                Fabric& fabric,
+                const std::atomic<bool>& closing) {
   uint64_t version = 0;
   while (!closing) {
-    const Result<PlatformAnswer> answer = WatchPlatform(platform, "vms", version, kWatch, closing);
+    const Result<PlatformAnswer> answer =
+        WatchPlatform(platform, "vms", version, kWatch, closing);
     if (!answer) {
       std::this_thread::sleep_for(kRetry);
       continue;
@@ -176,20 +197,27 @@
 
 ResultCode RunFabric(const cxxopts::ParseResult& options) {
   std::vector<Endpoint> services;
-  for (const std::string& text : options["service"].as<std::vector<std::string>>()) {
+  for (const std::string& text :
+       options["service"].as<std::vector<std::string>>()) {
     const std::optional<Endpoint> service = ParseEndpoint(text);
     if (!service)
       return Complain({ResultCode::kUsage, "--service is no A.B.C.D:PORT"});
     services.push_back(*service);
   }
-  const std::optional<Endpoint> uplink = ParseEndpoint(options["listen"].as<std::string>());
-  const std::optional<Endpoint> platform = ParseEndpoint(options["platform"].as<std::string>());
+  const std::optional<Endpoint> uplink =
+      ParseEndpoint(options["listen"].as<std::string>());
+  const std::optional<Endpoint> platform =
+      ParseEndpoint(options["platform"].as<std::string>());
   if (!uplink || !platform)
-    return Complain({ResultCode::kUsage, "--listen or --platform is no A.B.C.D:PORT"});
-  const FabricFaults faults{options["loss"].as<double>(), options["duplicate"].as<double>(),
-                            options["reorder"].as<double>(), Milliseconds(options["delay-ms"].as<int>())};
+    return Complain(
+        {ResultCode::kUsage, "--listen or --platform is no A.B.C.D:PORT"});
+  const FabricFaults faults{options["loss"].as<double>(),
+                            options["duplicate"].as<double>(),
+                            options["reorder"].as<double>(),
+                            Milliseconds(options["delay-ms"].as<int>())};
   asio::io_context context;
-  const auto fabric = std::make_shared<Fabric>(context, faults, options["seed"].as<uint64_t>());
+  const auto fabric =
+      std::make_shared<Fabric>(context, faults, options["seed"].as<uint64_t>());
   const Result<void> opened = fabric->Open(services, *uplink);
   if (!opened)
     return Complain(opened.error());
@@ -197,7 +225,8 @@
   std::atomic<bool> closing = false;
   std::thread follower([&] { FollowList(*platform, *fabric, closing); });
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&fabric](const asio::error_code&, int) { fabric->Stop(); });
+  signals.async_wait(
+      [&fabric](const asio::error_code&, int) { fabric->Stop(); });
   context.run();
   closing = true;
   follower.join();
--- a/src/standin/figures_role.cc
+++ b/src/standin/figures_role.cc
@@ -1,4 +1,5 @@
-/** @file figures_role.cc Computes a demo's figures from what callers and backend servers recorded themselves. */
+/** @file figures_role.cc Computes a demo's figures from what callers and
+ * backend servers recorded themselves. */
 
 #include <algorithm>
 #include <iomanip>
@@ -41,9 +42,12 @@
 TargetBounds BoundsOf(const Config& config) {
   TargetBounds bounds{1e9, 100, 1e9};
   for (const WorkClass& work : config.classes) {
-    bounds.within_ms = std::min(bounds.within_ms, static_cast<double>(work.target.answered_within_ms));
-    bounds.answered_percent = std::min(bounds.answered_percent, work.target.answered_percent);
-    bounds.imbalance_percent = std::min(bounds.imbalance_percent, work.target.imbalance_percent);
+    bounds.within_ms = std::min(
+        bounds.within_ms, static_cast<double>(work.target.answered_within_ms));
+    bounds.answered_percent =
+        std::min(bounds.answered_percent, work.target.answered_percent);
+    bounds.imbalance_percent =
+        std::min(bounds.imbalance_percent, work.target.imbalance_percent);
   }
   return bounds;
 }
@@ -51,18 +55,29 @@
 /** Prints figures and remembers whether all held. */
 class FigurePrinter {
  public:
-  void AtMost(const std::string& name, double value, const std::string& unit, double bound) {
+  void AtMost(const std::string& name,
+              double value,
+              const std::string& unit,
+              double bound) {
     this->Print(name, value, unit, bound, value <= bound);
   }
-  void AtLeast(const std::string& name, double value, const std::string& unit, double bound) {
+  void AtLeast(const std::string& name,
+               double value,
+               const std::string& unit,
+               double bound) {
     this->Print(name, value, unit, bound, value >= bound);
   }
   bool AllHeld() const { return this->all_held; }
 
  private:
-  void Print(const std::string& name, double value, const std::string& unit, double bound, bool held) {
-    std::cout << std::setprecision(6) << "figure=" << name << " value=" << value << " unit=" << unit
-              << " bound=" << bound << " held=" << (held ? "yes" : "no") << "\n";
+  void Print(const std::string& name,
+             double value,
+             const std::string& unit,
+             double bound,
+             bool held) {
+    std::cout << std::setprecision(6) << "figure=" << name << " value=" << value
+              << " unit=" << unit << " bound=" << bound
+              << " held=" << (held ? "yes" : "no") << "\n";
     this->all_held = this->all_held && held;
   }
 
@@ -90,32 +105,40 @@
   }
 
   double CountRequests(bool (*counts)(const RequestFacts&)) const {
-    return static_cast<double>(
-        std::ranges::count_if(this->requests, [counts](const auto& item) { return counts(item.second); }));
+    return static_cast<double>(std::ranges::count_if(
+        this->requests,
+        [counts](const auto& item) { return counts(item.second); }));
   }
 
-  double CountCallerLines(const std::string& key, const std::string& value) const {
+  double CountCallerLines(const std::string& key,
+                          const std::string& value) const {
     return CountLines(this->caller_lines, key, value);
   }
-  double CountBackendLines(const std::string& key, const std::string& value) const {
+  double CountBackendLines(const std::string& key,
+                           const std::string& value) const {
     return CountLines(this->backend_lines, key, value);
   }
 
-  /** Last work that a drained backend server took, in seconds after its drain was published. */
+  /** Last work that a drained backend server took, in seconds after its drain
+   * was published. */
   double NewWorkAfterDrain() const {
     double latest = 0;
     for (const RecordLine& drain : this->demo_lines) {
       if (TextOf(drain, "event") != "drain")
         continue;
       for (const RecordLine& line : this->backend_lines) {
-        if (TextOf(line, "event") == "accepted" && TextOf(line, "vm") == TextOf(drain, "vm"))
-          latest = std::max(latest, (NumberOf(line, "at") - NumberOf(drain, "at")) / kMicrosecondsPerS);
+        if (TextOf(line, "event") == "accepted" &&
+            TextOf(line, "vm") == TextOf(drain, "vm"))
+          latest =
+              std::max(latest, (NumberOf(line, "at") - NumberOf(drain, "at")) /
+                                   kMicrosecondsPerS);
       }
     }
     return latest;
   }
 
-  /** Busiest backend server's busy time above the mean of its service; drained ones don't count. */
+  /** Busiest backend server's busy time above the mean of its service; drained
+   * ones don't count. */
   double ImbalancePercent() const {
     std::set<std::string> drained;
     for (const RecordLine& line : this->demo_lines) {
@@ -124,8 +147,10 @@
     }
     std::map<std::string, std::map<std::string, double>> busy;
     for (const RecordLine& line : this->backend_lines) {
-      if (TextOf(line, "event") == "finished" && !drained.contains(TextOf(line, "vm")))
-        busy[TextOf(line, "service")][TextOf(line, "vm")] += NumberOf(line, "busy");
+      if (TextOf(line, "event") == "finished" &&
+          !drained.contains(TextOf(line, "vm")))
+        busy[TextOf(line, "service")][TextOf(line, "vm")] +=
+            NumberOf(line, "busy");
     }
     double worst = 0;
     for (const auto& [service, by_vm] : busy) {
@@ -135,7 +160,9 @@
         sum += time;
         most = std::max(most, time);
       }
-      worst = std::max(worst, (most / (sum / static_cast<double>(by_vm.size())) - 1) * kPercent);
+      worst = std::max(
+          worst,
+          (most / (sum / static_cast<double>(by_vm.size())) - 1) * kPercent);
     }
     return worst;
   }
@@ -143,25 +170,34 @@
   double AnswerP99Ms() const {
     std::vector<double> latencies;
     for (const RecordLine& line : this->caller_lines) {
-      if (TextOf(line, "event") == "request" && TextOf(line, "outcome") == "answered")
+      if (TextOf(line, "event") == "request" &&
+          TextOf(line, "outcome") == "answered")
         latencies.push_back(NumberOf(line, "latency_us") / kMicrosecondsPerMs);
     }
     if (latencies.empty())
       return 0;
-    const auto place = latencies.begin() + static_cast<ptrdiff_t>(kP99 * static_cast<double>(latencies.size() - 1));
+    const auto place = latencies.begin() +
+                       static_cast<ptrdiff_t>(
+                           kP99 * static_cast<double>(latencies.size() - 1));
     std::ranges::nth_element(latencies, place);
     return *place;
   }
 
   double AnsweredPercent() const {
     const double asked = this->CountCallerLines("event", "request");
-    return asked == 0 ? 0 : kPercent * this->CountCallerLines("outcome", "answered") / asked;
+    return asked == 0
+               ? 0
+               : kPercent * this->CountCallerLines("outcome", "answered") /
+                     asked;
   }
 
  private:
-  static double CountLines(const std::vector<RecordLine>& lines, const std::string& key, const std::string& value) {
-    return static_cast<double>(
-        std::ranges::count_if(lines, [&](const RecordLine& line) { return TextOf(line, key) == value; }));
+  static double CountLines(const std::vector<RecordLine>& lines,
+                           const std::string& key,
+                           const std::string& value) {
+    return static_cast<double>(std::ranges::count_if(
+        lines,
+        [&](const RecordLine& line) { return TextOf(line, key) == value; }));
   }
 
   std::vector<RecordLine> backend_lines;
@@ -187,27 +223,38 @@
     return Complain(text.error());
   const ConfigCheck check = CheckConfig(path, text.value());
   if (!check.problems.empty())
-    return Complain({ResultCode::kInvalidDocument, FormatProblems(check.problems)});
+    return Complain(
+        {ResultCode::kInvalidDocument, FormatProblems(check.problems)});
   const TargetBounds bounds = BoundsOf(check.config);
   const Figures figures(options["dir"].as<std::string>());
   FigurePrinter print;
-  print.AtMost("broken_flows_planned", figures.CountCallerLines("event", "flow_broken"), "flows", 0);
+  print.AtMost("broken_flows_planned",
+               figures.CountCallerLines("event", "flow_broken"), "flows", 0);
   print.AtMost("wrong_service_packets",
-               figures.CountBackendLines("event", "wrong_service") + figures.CountCallerLines("check", "wrong_service"),
+               figures.CountBackendLines("event", "wrong_service") +
+                   figures.CountCallerLines("check", "wrong_service"),
                "packets", 0);
-  print.AtMost("mixed_answers", figures.CountCallerLines("check", "mixed"), "answers", 0);
-  print.AtMost("incomplete_answers", figures.CountCallerLines("check", "incomplete"), "answers", 0);
-  print.AtMost("doubled_requests", figures.CountRequests(IsDoubled), "requests", 0);
-  print.AtMost("false_not_run", figures.CountRequests(IsFalseNotRun), "requests", 0);
-  print.AtMost("new_work_after_drain_s", figures.NewWorkAfterDrain(), "s", kFewSeconds);
-  print.AtMost("imbalance_percent", figures.ImbalancePercent(), "percent", bounds.imbalance_percent);
+  print.AtMost("mixed_answers", figures.CountCallerLines("check", "mixed"),
+               "answers", 0);
+  print.AtMost("incomplete_answers",
+               figures.CountCallerLines("check", "incomplete"), "answers", 0);
+  print.AtMost("doubled_requests", figures.CountRequests(IsDoubled), "requests",
+               0);
+  print.AtMost("false_not_run", figures.CountRequests(IsFalseNotRun),
+               "requests", 0);
+  print.AtMost("new_work_after_drain_s", figures.NewWorkAfterDrain(), "s",
+               kFewSeconds);
+  print.AtMost("imbalance_percent", figures.ImbalancePercent(), "percent",
+               bounds.imbalance_percent);
   print.AtMost("answer_p99_ms", figures.AnswerP99Ms(), "ms", bounds.within_ms);
-  print.AtLeast("requests_answered_percent", figures.AnsweredPercent(), "percent", bounds.answered_percent);
+  print.AtLeast("requests_answered_percent", figures.AnsweredPercent(),
+                "percent", bounds.answered_percent);
   std::cout << "requests=" << figures.CountCallerLines("event", "request")
             << " flows=" << figures.CountCallerLines("event", "flow")
             << " not_run=" << figures.CountCallerLines("outcome", "not_run")
             << " unknown=" << figures.CountCallerLines("outcome", "unknown")
-            << " runs=" << figures.CountBackendLines("event", "started") << "\n";
+            << " runs=" << figures.CountBackendLines("event", "started")
+            << "\n";
   return print.AllHeld() ? ResultCode::kOk : ResultCode::kTargetsNotMet;
 }
 
--- a/src/standin/record_func.cc
+++ b/src/standin/record_func.cc
@@ -19,7 +19,8 @@
   return pairs;
 }
 
-std::vector<RecordLine> ReadRecords(const std::string& directory, const std::string& prefix) {
+std::vector<RecordLine> ReadRecords(const std::string& directory,
+                                    const std::string& prefix) {
   std::vector<RecordLine> lines;
   for (const auto& entry : std::filesystem::directory_iterator(directory)) {
     if (!entry.path().filename().string().starts_with(prefix))
--- a/src/standin/work_func.cc
+++ b/src/standin/work_func.cc
@@ -7,7 +7,8 @@
 namespace cuminvane {
 namespace {
 
-/** Bytes of one part, so that a long answer does not fit into a few datagrams. */
+/** Bytes of one part, so that a long answer does not fit into a few datagrams.
+ */
 constexpr size_t kPartBytes = 400;
 
 }  // namespace
@@ -48,8 +49,10 @@
     whole += MakeAnswerPart(order.service, order.tag, index, order.parts);
   if (answer == whole)
     return AnswerCheck::kWhole;
-  for (size_t offset = 0; offset + kPartBytes <= answer.size(); offset += kPartBytes) {
-    std::istringstream in{std::string(answer.substr(offset + 1, kPartBytes - 1))};
+  for (size_t offset = 0; offset + kPartBytes <= answer.size();
+       offset += kPartBytes) {
+    std::istringstream in{
+        std::string(answer.substr(offset + 1, kPartBytes - 1))};
     std::string service;
     std::string tag;
     in >> service >> tag;
--- a/src/standin/work_func.h
+++ b/src/standin/work_func.h
@@ -1,4 +1,5 @@
-/** @file work_func.h The work that stand-in callers ask for and stand-in backend servers do. */
+/** @file work_func.h The work that stand-in callers ask for and stand-in
+ * backend servers do. */
 
 #ifndef CUMINVANE_STANDIN_WORK_FUNC_H_
 #define CUMINVANE_STANDIN_WORK_FUNC_H_
@@ -14,10 +15,10 @@
 
 /** What one request asks of a backend server. */
 struct WorkOrder {
-  std::string tag;            ///< Unique; no two requests share one.
-  std::string service;        ///< Service that the caller means.
-  uint32_t parts = 1;         ///< Parts of the answer.
-  Microseconds busy{0};       ///< Time it takes one slot.
+  std::string tag;       ///< Unique; no two requests share one.
+  std::string service;   ///< Service that the caller means.
+  uint32_t parts = 1;    ///< Parts of the answer.
+  Microseconds busy{0};  ///< Time it takes one slot.
 
   bool operator==(const WorkOrder&) const = default;
 };
@@ -35,7 +36,10 @@
  * @param count Number of parts.
  * @return The part's bytes; they tell whose answer they belong to.
  */
-std::string MakeAnswerPart(std::string_view service, std::string_view tag, uint32_t index, uint32_t count);
+std::string MakeAnswerPart(std::string_view service,
+                           std::string_view tag,
+                           uint32_t index,
+                           uint32_t count);
 
 /** How an answer compares with its order. */
 enum class AnswerCheck : uint8_t { kWhole, kIncomplete, kMixed, kWrongService };
--- a/src/table/vmlist_table.h
+++ b/src/table/vmlist_table.h
@@ -15,15 +15,25 @@
 };
 
 inline constexpr std::array kVmListKeys = {
-    KeyRow{"list", "version", ValueKind::kInteger, nullptr, 1, kHighestVersion, "", "Grows with every change of the list."},
-    KeyRow{"vm", "incarnation", ValueKind::kInteger, nullptr, 1, kHighestVersion, "", "Grows with every start of the VM."},
-    KeyRow{"vm", "role", ValueKind::kChoice, nullptr, 0, 0, "balancer|backend", "What runs on it."},
-    KeyRow{"vm", "service", ValueKind::kWord, "", 0, 0, "", "For a backend server: the service it serves."},
-    KeyRow{"vm", "data_centre", ValueKind::kWord, nullptr, 0, 0, "", "Where it is."},
-    KeyRow{"vm", "address", ValueKind::kEndpoint, nullptr, 0, 0, "", "A backend server's address for work, a balancer's for packets from the fabric."},
-    KeyRow{"vm", "peer_address", ValueKind::kEndpoint, "", 0, 0, "", "A balancer's address for other balancers."},
-    KeyRow{"vm", "control_address", ValueKind::kEndpoint, "", 0, 0, "", "A balancer's JSON-RPC address."},
-    KeyRow{"vm", "state", ValueKind::kChoice, "live", 0, 0, "live|leaving", "Whether it is about to go."},
+    KeyRow{"list", "version", ValueKind::kInteger, nullptr, 1, kHighestVersion,
+           "", "Grows with every change of the list."},
+    KeyRow{"vm", "incarnation", ValueKind::kInteger, nullptr, 1,
+           kHighestVersion, "", "Grows with every start of the VM."},
+    KeyRow{"vm", "role", ValueKind::kChoice, nullptr, 0, 0, "balancer|backend",
+           "What runs on it."},
+    KeyRow{"vm", "service", ValueKind::kWord, "", 0, 0, "",
+           "For a backend server: the service it serves."},
+    KeyRow{"vm", "data_centre", ValueKind::kWord, nullptr, 0, 0, "",
+           "Where it is."},
+    KeyRow{"vm", "address", ValueKind::kEndpoint, nullptr, 0, 0, "",
+           "A backend server's address for work, a balancer's for packets from "
+           "the fabric."},
+    KeyRow{"vm", "peer_address", ValueKind::kEndpoint, "", 0, 0, "",
+           "A balancer's address for other balancers."},
+    KeyRow{"vm", "control_address", ValueKind::kEndpoint, "", 0, 0, "",
+           "A balancer's JSON-RPC address."},
+    KeyRow{"vm", "state", ValueKind::kChoice, "live", 0, 0, "live|leaving",
+           "Whether it is about to go."},
 };
 
 inline constexpr Schema kVmListSchema{kVmListSections, kVmListKeys};
--- /dev/null
+++ b/tests/fleet_fake.h
@@ -0,0 +1,163 @@
+/** @file fleet_fake.h Balancers, backend servers and a caller in one process
+ * and in virtual time, joined by queues. */
+
+#ifndef CUMINVANE_TESTS_FLEET_FAKE_H_
+#define CUMINVANE_TESTS_FLEET_FAKE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/caller_base.h"
+#include "core/node_base.h"
+#include "standin/backend_base.h"
+
+namespace cuminvane {
+
+using TestNode = Node<NoMutex>;
+
+/** How a fake fleet is set up. */
+struct FleetOptions {
+  uint64_t seed = 1;
+  int balancers = 3;
+  int backends = 3;
+  uint32_t slots = 3;
+  double loss = 0;
+  double duplicate = 0;
+  Microseconds delay{500};   ///< One way, everywhere.
+  Microseconds jitter{500};  ///< Added at random.
+};
+
+/**
+ * The interfaces of real processes, faked by one queue of datagrams in virtual
+ * time.
+ *
+ * Balancer i has VM i and addresses 10.0.0.i; backend server j has VM 100 + j
+ * and address 10.1.0.j.
+ */
+class FakeFleet {
+ public:
+  explicit FakeFleet(const FleetOptions& options);
+
+  /** Runs until the time has passed. */
+  void RunFor(Microseconds time);
+  /** Runs until the condition holds; false where it does not within the time.
+   */
+  bool RunUntil(const std::function<bool()>& condition, Microseconds time);
+
+  /** Publishes the configuration with these extra lines; every balancer reads
+   * it at once. */
+  void PublishConfig(uint64_t version, const std::string& extra = "");
+  /** Publishes the list of VMs; `leaving` ones are marked so. */
+  void PublishVms(uint64_t version, const std::set<uint32_t>& leaving = {});
+  /** Offers a configuration to one balancer alone. */
+  Result<void> OfferConfig(int balancer, const std::string& text);
+
+  /** A balancer loses everything and sends nothing more. */
+  void Kill(int balancer);
+  /** A balancer starts again as a new incarnation. */
+  void Restart(int balancer);
+  /** A balancer neither reads nor acts until it is resumed; its datagrams wait.
+   */
+  void Pause(int balancer);
+  void Resume(int balancer);
+  /** A backend server starts again at the same address. */
+  void RestartBackend(int backend);
+  /** No datagram passes between the two VMs. */
+  void Cut(uint32_t first_vm, uint32_t second_vm);
+  void HealAll();
+  /** The fabric sprays over these balancers only. */
+  void SprayOver(const std::vector<int>& balancers);
+
+  /** Opens a flow and waits until it is open. */
+  FlowHandle OpenFlow();
+  /** Sends a request; its end is noted in Ended. */
+  RequestKey Ask(FlowHandle flow,
+                 const std::string& work_class,
+                 const WorkOrder& order,
+                 Milliseconds deadline = Milliseconds(3000));
+  /** Sends a request and waits for its end. */
+  CallerEvent AskAndWait(FlowHandle flow,
+                         const std::string& work_class,
+                         const WorkOrder& order,
+                         Milliseconds deadline = Milliseconds(3000));
+
+  /** A fresh order with its own tag. */
+  WorkOrder Order(uint32_t parts = 1, Microseconds busy = Milliseconds(5));
+
+  /** @return Times that work with the tag was started, at all backend servers.
+   */
+  int Starts(const std::string& tag) const;
+  /** @return When work was last accepted by a backend server. */
+  TimePoint LastAccepted(int backend) const;
+  /** @return The balancer that owns the flow, from the token its caller got. */
+  int OwnerOf(FlowHandle flow);
+
+  TestNode& NodeOf(int balancer) { return *this->nodes.at(balancer).node; }
+  bool IsUp(int balancer) const {
+    return this->nodes.at(balancer).node != nullptr;
+  }
+  std::string ConfigText(uint64_t version, const std::string& extra = "") const;
+  Settings SettingsOf(int balancer) const;
+
+  FleetOptions options;
+  RandomEngine random;
+  TimePoint now = TimePoint(Seconds(1'000'000));
+  Caller caller;
+  std::map<RequestKey, CallerEvent> ended;
+  std::map<FlowHandle, FlowId> opened;
+  std::vector<Decision> decisions;
+  uint64_t peer_bytes = 0;       ///< Sent between balancers.
+  uint64_t relayed_payload = 0;  ///< Of these, callers' packets.
+  uint64_t relays = 0;
+  uint64_t caller_packets = 0;
+  std::function<
+      bool(const Endpoint& from, const Endpoint& to, const std::string& bytes)>
+      lose;  ///< Loses a datagram by choice.
+
+ private:
+  /** One balancer's process. */
+  struct NodeState {
+    std::unique_ptr<Settings> settings;
+    std::unique_ptr<TestNode> node;
+    uint64_t incarnation = 1;
+    bool paused = false;
+    std::vector<std::pair<Endpoint, std::pair<Endpoint, std::string>>> held;
+  };
+
+  /** A datagram on its way. */
+  struct Flight {
+    Endpoint from;
+    Endpoint to;
+    std::string bytes;
+  };
+
+  void Start(int balancer);
+  void Send(const Endpoint& from, const Endpoint& to, std::string bytes);
+  void Deliver(const Flight& flight);
+  void DeliverToNode(int balancer, const Flight& flight);
+  void Carry(const Endpoint& base, Output& out);
+  void CarryCaller();
+  void Step();
+  static uint32_t VmOf(const Endpoint& endpoint);
+
+  std::map<int, NodeState> nodes;
+  std::map<int, std::unique_ptr<Backend>> backends;
+  std::map<int, uint64_t> backend_incarnations;
+  std::map<std::string, int> starts;
+  std::map<int, TimePoint> last_accepted;
+  std::multimap<TimePoint, Flight> flights;
+  std::set<std::pair<uint32_t, uint32_t>> cuts;
+  std::vector<int> spray;
+  CallerOutput caller_out;
+  std::string config_text;
+  std::string vms_text;
+  uint64_t tags = 0;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_TESTS_FLEET_FAKE_H_
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Builds everything, checks format and lint, runs all tests. Exits non-zero at the first thing that fails.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+step() { echo "== $*"; }
+
+step setup
+tools/setup.sh
+step format
+tools/format.sh --check || { echo "test: run tools/format.sh" >&2; exit 1; }
+step build
+cmake --preset release >/dev/null
+cmake --build --preset release
+step lint
+git ls-files 'src/*.cc' | grep -v '^src/control/' | xargs -P "$(nproc)" -n 2 clang-tidy -p build/release --quiet 2>build/lint.log ||
+  { echo "test: clang-tidy found something" >&2; exit 1; }
+step tests
+ctest --preset release --output-on-failure
