--- a/src/core/board_base.h
+++ b/src/core/board_base.h
@@ -30,9 +30,10 @@
 /** How this process stands towards the fleet. */
 struct SelfState {
   Holder id;
-  bool serving = false;   ///< Callers' packets are taken.
-  bool stopping = false;  ///< No new non-idempotent work is taken.
-  KeyNumber issue_key;    ///< Key that new tokens are made with.
+  bool serving = false;    ///< Callers' packets are taken.
+  bool stopping = false;   ///< No new non-idempotent work is taken.
+  Incarnation clean_left;  ///< As MemberInfo::clean_left, of this VM.
+  KeyNumber issue_key;     ///< Key that new tokens are made with.
 
   bool operator==(const SelfState&) const = default;
 };
--- a/src/core/member_base.cc
+++ b/src/core/member_base.cc
@@ -39,6 +39,13 @@
   return news.newest_key > belief.newest_key;
 }
 
+/** A member says that it has left only when it owes nothing. */
+Incarnation CleanLeft(const MemberInfo& info) {
+  return info.State() == MemberState::kLeft
+             ? std::max(info.clean_left, info.id.incarnation)
+             : info.clean_left;
+}
+
 Decision Describe(const MemberInfo& info, const char* reason) {
   Decision decision;
   decision.topic = Topic::kMembership;
@@ -57,6 +64,16 @@
   return kWords.at(static_cast<size_t>(state));
 }
 
+MemberInfo MakeMember(const Holder& id,
+                      const Endpoint& peer,
+                      std::string_view data_centre) {
+  MemberInfo member;
+  member.id = id;
+  member.peer = peer;
+  member.data_centre = XXH3_64bits(data_centre.data(), data_centre.size());
+  return member;
+}
+
 const MemberInfo* FindMember(const MemberView& view, VmId vm) {
   const auto member = std::ranges::lower_bound(
       view.members, vm, {}, [](const MemberInfo& info) { return info.id.vm; });
@@ -92,12 +109,8 @@
     if (!newer || vm.leaving)
       continue;
     Entry& entry = this->entries[vm.id];
-    entry.info = {{vm.id, vm.incarnation},
-                  0,
-                  static_cast<uint8_t>(MemberState::kAlive),
-                  vm.peer_address,
-                  XXH3_64bits(vm.data_centre.data(), vm.data_centre.size()),
-                  0};
+    entry.info =
+        MakeMember({vm.id, vm.incarnation}, vm.peer_address, vm.data_centre);
     entry.state_until = kNever;
     ++this->changes;
   }
@@ -201,6 +214,13 @@
   if (info.id.vm == VmId{})
     return;
   if (info.id.vm == this->self.id.vm) {
+    // Peers know better than a new start how the one before it ended.
+    const Incarnation clean_left = CleanLeft(info);
+    if (clean_left > this->self.clean_left &&
+        clean_left < this->self.id.incarnation) {
+      this->self.clean_left = clean_left;
+      ++this->changes;
+    }
     this->Refute(info);
     return;
   }
@@ -211,8 +231,14 @@
       this->Adopt(now, this->entries[info.id.vm], info, out);
     return;
   }
-  if (Replaces(info, known->second.info))
+  MemberInfo& belief = known->second.info;
+  const Incarnation clean_left = std::max(CleanLeft(info), CleanLeft(belief));
+  if (Replaces(info, belief))
     this->Adopt(now, known->second, info, out);
+  if (clean_left > belief.clean_left) {
+    belief.clean_left = clean_left;
+    ++this->changes;
+  }
 }
 
 void MemberTable::Refute(const MemberInfo& info) {
--- a/src/core/member_type.h
+++ b/src/core/member_type.h
@@ -6,6 +6,7 @@
 
 #include <msgpack.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/document_type.h"
@@ -35,9 +36,17 @@
   Endpoint peer;       ///< Where it listens for peers.
   uint64_t data_centre = 0;  ///< Hash of the data centre's name.
   uint32_t newest_key = 0;   ///< Newest token key that it holds.
+  /** Its last start known to have stopped with nothing owed to any caller. */
+  Incarnation clean_left;
 
   bool operator==(const MemberInfo&) const = default;
-  MSGPACK_DEFINE_ARRAY(id, round, state, peer, data_centre, newest_key)
+  MSGPACK_DEFINE_ARRAY(id,
+                       round,
+                       state,
+                       peer,
+                       data_centre,
+                       newest_key,
+                       clean_left.value)
 
   /** @return The state, kAlive for a number from a newer version. */
   MemberState State() const {
@@ -47,6 +56,11 @@
   }
 };
 
+/** @return What a live member says of itself at first. */
+MemberInfo MakeMember(const Holder& id,
+                      const Endpoint& peer,
+                      std::string_view data_centre);
+
 /** Versions of the documents that a member has in force. */
 struct DocumentVersions {
   DocumentStamp config;
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -110,8 +110,8 @@
       this->witnesses.emplace_back(settings.requests.records_per_shard);
     }
     this->board.Write(&BoardView::self,
-                      std::make_shared<const SelfState>(
-                          SelfState{SelfHolder(settings), false, false, {}}),
+                      std::make_shared<const SelfState>(SelfState{
+                          SelfHolder(settings), false, false, {}, {}}),
                       BoardSource::kOperator, TimePoint{});
   }
 
@@ -261,9 +261,15 @@
     this->members.With([&](MemberTable& table) { table.Leave(out); });
   }
 
-  /** Tells the peers that the shutdown is complete. */
-  void EndStop(Output& out) {
-    this->members.With([&](MemberTable& table) { table.Left(out); });
+  /** Takes nothing more; tells the peers, where nothing is owed to any caller.
+   */
+  void EndStop(TimePoint now, Output& out) {
+    this->board.Update(
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.serving = false; },
+        BoardSource::kOperator, now);
+    if (this->Load().unfinished == 0)
+      this->members.With([&](MemberTable& table) { table.Left(out); });
   }
 
   /** @return Whether a planned change in force asks this balancer to stop. */
@@ -338,13 +344,8 @@
   }
 
   static MemberInfo MakeSelf(const Settings& settings) {
-    return {
-        SelfHolder(settings),
-        0,
-        static_cast<uint8_t>(MemberState::kAlive),
-        settings.peer,
-        XXH3_64bits(settings.data_centre.data(), settings.data_centre.size()),
-        0};
+    return MakeMember(SelfHolder(settings), settings.peer,
+                      settings.data_centre);
   }
 
   template <class Message>
@@ -568,6 +569,11 @@
     const Route route = RouteRequest(call.board, token.value(),
                                      message.work_class, arrival.hops);
     this->LogRoute("request", message.flow, message.number, route, call.out);
+    if (route.kind == RouteKind::kInherit) {
+      this->GoOn(call, arrival.path, token.value(), message,
+                 Testimony::kNeverDispatched, RequestNumber{});
+      return;
+    }
     if (route.kind == RouteKind::kTakeOver) {
       this->TakeOver(call, arrival.path, token.value(), message);
       return;
@@ -596,15 +602,27 @@
           witness.Close(request.flow, token.owner, request.number, forget_at);
       announced = witness.HighestAnnounced(request.flow);
     });
-    // An intent may be forgotten once its deadline has passed.
+    this->GoOn(call, path, token, request, testimony, announced);
+  }
+
+  /**
+   * Gives a flow whose owner is gone its next owner, and tells the caller what
+   * is known of its request.
+   */
+  void GoOn(const ShardCall& call,
+            const CallerPath& path,
+            const FlowToken& token,
+            const Request& request,
+            Testimony testimony,
+            RequestNumber announced) {
+    // What was known of it may be forgotten once its deadline has passed.
     const bool too_late = FromWire(request.deadline) <= call.now;
-    if (too_late || request.number <= token.fence)
-      testimony = Testimony::kMayHaveRun;
-    FlowToken next = AssignOwner(call.board, token, this->Wish());
-    next.fence = std::max({token.fence, announced, request.number});
-    const bool moved = testimony == Testimony::kNeverDispatched;
+    const bool moved = testimony == Testimony::kNeverDispatched && !too_late &&
+                       request.number > token.fence;
     const ResultCode code =
         moved ? ResultCode::kMoved : ResultCode::kOutcomeUnknown;
+    FlowToken next = AssignOwner(call.board, token, this->Wish());
+    next.fence = std::max({token.fence, announced, request.number});
     this->LogRoute("take_over", request.flow, request.number,
                    {RouteKind::kTakeOver,
                     code,
@@ -904,6 +922,13 @@
       this->board.Write(&BoardView::members,
                         std::make_shared<const MemberView>(table.View()),
                         BoardSource::kMembership, now);
+      const Incarnation clean_left = table.Self().clean_left;
+      this->board.Update(
+          &BoardView::self,
+          [clean_left](const BoardView&, SelfState& self) {
+            self.clean_left = clean_left;
+          },
+          BoardSource::kMembership, now);
       return true;
     });
     if (changed)
@@ -936,7 +961,7 @@
    * whoever answers. */
   void TickStart(TimePoint now, Output& out) {
     const auto view = this->board.Read();
-    if (view->self.value->serving)
+    if (view->self.value->serving || view->self.value->stopping)
       return;
     if (this->next_first_ping <= now) {
       this->next_first_ping = now + kFirstPingInterval;
--- a/src/core/route_func.cc
+++ b/src/core/route_func.cc
@@ -22,6 +22,19 @@
           reason};
 }
 
+/** Whether the start has stopped with nothing owed to any caller. */
+bool HasLeftClean(const BoardView& board, const Holder& holder) {
+  const SelfState& self = *board.self.value;
+  if (holder.vm == self.id.vm)
+    return holder.incarnation <= self.clean_left;
+  const MemberInfo* const member = FindMember(*board.members.value, holder.vm);
+  if (member == nullptr)
+    return false;
+  const bool left = member->State() == MemberState::kLeft &&
+                    member->id.incarnation == holder.incarnation;
+  return left || holder.incarnation <= member->clean_left;
+}
+
 }  // namespace
 
 Result<FlowToken> CheckToken(const BoardView& board,
@@ -89,6 +102,11 @@
   const WorkClass* const work = FindClass(*board.config.value, work_class);
   if (work != nullptr && work->idempotent)
     return MakeLocal("idempotent");
+  if (HasLeftClean(board, token.owner)) {
+    Route inherit = MakeLocal("left_clean");
+    inherit.kind = RouteKind::kInherit;
+    return inherit;
+  }
   const Route to_owner = RouteToHolder(board, token.owner, hops);
   if (to_owner.kind != RouteKind::kRefuse || token.witness == Holder{})
     return to_owner;
--- a/src/core/route_type.h
+++ b/src/core/route_type.h
@@ -15,6 +15,7 @@
   kLocal,     ///< This balancer handles it.
   kRelay,     ///< Another balancer handles it.
   kTakeOver,  ///< The owner is out of reach, and this balancer is its witness.
+  kInherit,   ///< The owner has left and owes nothing; anyone may go on.
   kRefuse,    ///< The caller gets a verdict.
 };
 
--- a/src/core/shard_base.h
+++ b/src/core/shard_base.h
@@ -309,6 +309,11 @@
     RequestRecord* record = nullptr;
   };
 
+  static bool IsOwed(const RequestRecord& record) {
+    return (record.state == RequestState::kAnswered && !record.delivered) ||
+           (record.state == RequestState::kUnknown && !record.idempotent);
+  }
+
   static uint64_t FingerprintOf(const Request& request) {
     const std::string_view payload = View(request.payload);
     const std::array<uint64_t, 3> parts{
@@ -349,7 +354,7 @@
   void OnForgotten(const RequestRecord& record) {
     this->runs.erase(record.run);
     --this->records;
-    if (record.state == RequestState::kAnswered && !record.delivered)
+    if (IsOwed(record))
       --this->unfinished;
   }
 
@@ -679,8 +684,9 @@
     record.state = state;
     record.code = code;
     record.payload = {};
-    // An answer is still owed until the caller says that it has all of it.
-    if (state != RequestState::kAnswered)
+    // Until the deadline something is still owed: an answer, until the caller
+    // says that it has all of it, and the word that an outcome is unknown.
+    if (!IsOwed(record))
       --this->unfinished;
     this->Schedule(record, flow, record.forget_at);
     call.out.samples.push_back({record.work_class, code,
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -209,7 +209,7 @@
 void Daemon::Finish() {
   const TimePoint now = ReadClock();
   Output out;
-  this->node.EndStop(out);
+  this->node.EndStop(now, out);
   this->workers.front()->Carry(now, out);
   LogLine(Topic::kProcess, Severity::kInfo,
           "event=finished unfinished=" +
--- a/tests/fleet_fake.cc
+++ b/tests/fleet_fake.cc
@@ -12,6 +12,7 @@
 constexpr uint32_t kNetMask = 0xffff0000;
 constexpr Endpoint kCaller{0x0a090001, 5000};
 constexpr Endpoint kService{0x0a080001, 80};
+constexpr Endpoint kNotesService{0x0a080003, 80};
 constexpr Endpoint kFabric{0x0a070001, 1};
 constexpr uint32_t kFirstBackendVm = 100;
 constexpr Milliseconds kStep{1};
@@ -30,7 +31,8 @@
 
 FakeFleet::FakeFleet(const FleetOptions& options)
     : options(options), random(options.seed), caller(this->random) {
-  for (int backend = 1; backend <= options.backends; ++backend) {
+  for (int backend = 1; backend <= options.backends + options.note_backends;
+       ++backend) {
     this->backend_incarnations[backend] = 0;
     this->RestartBackend(backend);
   }
@@ -75,11 +77,15 @@
                                   const std::string& extra) const {
   return "[document]\nversion = " + std::to_string(version) +
          "\n[service desk]\naddresses = " + ToString(kService) +
-         "\ndata_centres = a\n"
+         "\ndata_centres = a\n" +
+         "[service notes]\naddresses = " + ToString(kNotesService) +
+         "\ndata_centres = a\n" +
          "[class edits]\nservice = desk\nidempotent = no\nrank = "
          "1\nanswered_within_ms = 1000\nanswered_percent = 99\n"
          "[class feed]\nservice = desk\nidempotent = yes\nrank = "
          "2\nanswered_within_ms = 1000\nanswered_percent = 99\n"
+         "[class memos]\nservice = notes\nidempotent = no\nrank = "
+         "1\nanswered_within_ms = 1000\nanswered_percent = 99\n"
          "[token-key 1]\nsecret = 000102030405060708090a0b0c0d0e0f\n" +
          extra;
 }
@@ -100,8 +106,12 @@
   return taken;
 }
 
-void FakeFleet::PublishVms(uint64_t version,
-                           const std::set<uint32_t>& leaving) {
+std::string FakeFleet::ServiceOf(int backend) const {
+  return backend <= this->options.backends ? "desk" : "notes";
+}
+
+std::string FakeFleet::VmsText(uint64_t version,
+                               const std::set<uint32_t>& leaving) const {
   std::string text = "[list]\nversion = " + std::to_string(version) + "\n";
   const auto add = [&](uint32_t vm, uint64_t incarnation,
                        const std::string& rest) {
@@ -117,23 +127,34 @@
             "\npeer_address = " +
             ToString(NodeEndpoint(balancer, Lane::kPeer)) + "\n");
   }
-  for (int backend = 1; backend <= this->options.backends; ++backend) {
-    add(kFirstBackendVm + static_cast<uint32_t>(backend),
-        this->backend_incarnations[backend],
-        "role = backend\nservice = desk\naddress = " +
-            ToString(BackendEndpoint(backend)) + "\n");
+  for (const auto& [backend, incarnation] : this->backend_incarnations) {
+    add(kFirstBackendVm + static_cast<uint32_t>(backend), incarnation,
+        "role = backend\nservice = " + this->ServiceOf(backend) +
+            "\naddress = " + ToString(BackendEndpoint(backend)) + "\n");
   }
-  this->vms_text = text;
-  for (auto& [balancer, state] : this->nodes) {
-    if (state.node == nullptr || state.paused)
-      continue;
-    Output out;
-    static_cast<void>(state.node->OfferDocument(
-        this->now, DocumentKind::kVmList, text, this->random, out));
-    this->Carry(NodeEndpoint(balancer, Lane::kFabric), out);
+  return text;
+}
+
+void FakeFleet::PublishVms(uint64_t version,
+                           const std::set<uint32_t>& leaving) {
+  this->vms_text = this->VmsText(version, leaving);
+  for (const auto& [balancer, state] : this->nodes) {
+    if (state.node != nullptr && !state.paused)
+      this->OfferVms(balancer, version, leaving);
   }
 }
 
+void FakeFleet::OfferVms(int balancer,
+                         uint64_t version,
+                         const std::set<uint32_t>& leaving) {
+  Output out;
+  // A refusal shows in the decisions.
+  static_cast<void>(this->NodeOf(balancer).OfferDocument(
+      this->now, DocumentKind::kVmList, this->VmsText(version, leaving),
+      this->random, out));
+  this->Carry(NodeEndpoint(balancer, Lane::kFabric), out);
+}
+
 void FakeFleet::Kill(int balancer) {
   this->nodes.at(balancer).node = nullptr;
 }
@@ -143,6 +164,19 @@
   this->Start(balancer);
 }
 
+void FakeFleet::Stop(int balancer) {
+  Output out;
+  this->NodeOf(balancer).BeginStop(this->now, out);
+  this->Carry(NodeEndpoint(balancer, Lane::kFabric), out);
+}
+
+void FakeFleet::EndStop(int balancer) {
+  Output out;
+  this->NodeOf(balancer).EndStop(this->now, out);
+  this->Carry(NodeEndpoint(balancer, Lane::kFabric), out);
+  this->Kill(balancer);
+}
+
 void FakeFleet::Pause(int balancer) {
   this->nodes.at(balancer).paused = true;
 }
@@ -160,7 +194,7 @@
   backend_options.vm = VmId{kFirstBackendVm + static_cast<uint32_t>(backend)};
   backend_options.incarnation =
       Incarnation{++this->backend_incarnations[backend]};
-  backend_options.service = "desk";
+  backend_options.service = this->ServiceOf(backend);
   backend_options.slots = this->options.slots;
   this->backends[backend] = std::make_unique<Backend>(backend_options);
 }
@@ -187,10 +221,16 @@
   this->SprayOver(others);
 }
 
-FlowHandle FakeFleet::OpenFlow() {
+FlowHandle FakeFleet::StartFlow(const std::string& service) {
+  const Endpoint address = service == "desk" ? kService : kNotesService;
   const FlowHandle flow = this->caller.OpenFlow(
-      this->now, kService, this->now + Seconds(5), this->caller_out);
+      this->now, address, this->now + Seconds(30), this->caller_out);
   this->CarryCaller();
+  return flow;
+}
+
+FlowHandle FakeFleet::OpenFlow(const std::string& service) {
+  const FlowHandle flow = this->StartFlow(service);
   this->RunUntil([&] { return this->opened.contains(flow); }, Seconds(5));
   return flow;
 }
@@ -274,6 +314,7 @@
         ++this->starts[event.tag];
       if (event.kind == BackendEvent::Kind::kAccepted)
         this->last_accepted[number] = event.at;
+      this->backend_events.emplace_back(number, event);
     }
   }
   if (this->now.time_since_epoch() % kNodeTick == Microseconds(0)) {
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -23,7 +23,9 @@
 struct FleetOptions {
   uint64_t seed = 1;
   int balancers = 3;
-  int backends = 3;
+  int backends = 3;  ///< Of the service `desk`.
+  int note_backends =
+      0;  ///< Of the service `notes`; numbered after the others.
   uint32_t slots = 3;
   double loss = 0;
   double duplicate = 0;
@@ -56,11 +58,19 @@
   void PublishVms(uint64_t version, const std::set<uint32_t>& leaving = {});
   /** Offers a configuration to one balancer alone. */
   Result<void> OfferConfig(int balancer, const std::string& text);
+  /** Shows the list of VMs as it would be now to one balancer alone. */
+  void OfferVms(int balancer,
+                uint64_t version,
+                const std::set<uint32_t>& leaving);
 
   /** A balancer loses everything and sends nothing more. */
   void Kill(int balancer);
   /** A balancer starts again as a new incarnation. */
   void Restart(int balancer);
+  /** A balancer begins its graceful shutdown. */
+  void Stop(int balancer);
+  /** A balancer has finished its graceful shutdown and ends. */
+  void EndStop(int balancer);
   /** A balancer neither reads nor acts until it is resumed; its datagrams wait.
    */
   void Pause(int balancer);
@@ -75,8 +85,11 @@
   /** The fabric sprays over all balancers but this one. */
   void SprayAround(int balancer);
 
-  /** Opens a flow and waits until it is open. */
-  FlowHandle OpenFlow();
+  /** Opens a flow of a service, `desk` or `notes`, and waits until it is open.
+   */
+  FlowHandle OpenFlow(const std::string& service = "desk");
+  /** Begins to open a flow. */
+  FlowHandle StartFlow(const std::string& service);
   /** Sends a request; its end is noted in Ended. */
   RequestKey Ask(FlowHandle flow,
                  const std::string& work_class,
@@ -115,6 +128,8 @@
   std::map<RequestKey, CallerEvent> ended;
   std::map<FlowHandle, FlowId> opened;
   std::vector<Decision> decisions;
+  std::vector<std::pair<int, BackendEvent>>
+      backend_events;            ///< Of all backend servers, in order of time.
   uint64_t peer_bytes = 0;       ///< Sent between balancers.
   uint64_t relayed_payload = 0;  ///< Of these, callers' packets.
   uint64_t relays = 0;
@@ -148,6 +163,9 @@
   void Carry(const Endpoint& base, Output& out);
   void CarryCaller();
   void Step();
+  std::string VmsText(uint64_t version,
+                      const std::set<uint32_t>& leaving) const;
+  std::string ServiceOf(int backend) const;
   static uint32_t VmOf(const Endpoint& endpoint);
 
   std::map<int, NodeState> nodes;
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -174,6 +174,46 @@
                fleet.AskAndWait(flow, "edits", fleet.Order()).code);
 }
 
+TEST(Fleet, OwnerAndWitnessStoppedAtOnceCostAnIdleFlowNothing) {
+  FleetOptions options;
+  options.balancers = 4;
+  FakeFleet fleet(options);
+  const FlowHandle flow = fleet.OpenFlow();
+  const int owner = fleet.OwnerOf(flow);
+  const int witness = fleet.WitnessOf(flow);
+  fleet.Stop(owner);
+  fleet.Stop(witness);
+  fleet.RunFor(Seconds(1));
+  fleet.EndStop(owner);
+  fleet.EndStop(witness);
+  std::vector<int> rest;
+  for (int balancer = 1; balancer <= 4; ++balancer) {
+    if (balancer != owner && balancer != witness)
+      rest.push_back(balancer);
+  }
+  fleet.SprayOver(rest);
+  fleet.RunFor(Milliseconds(200));
+  const WorkOrder order = fleet.Order();
+  CHECK_CODE(ResultCode::kOk, fleet.AskAndWait(flow, "edits", order).code);
+  LONGS_EQUAL(1, fleet.Starts(order.tag));
+}
+
+TEST(Fleet, OwnersRestartedInPlaceOneAfterTheOtherCostAnIdleFlowNothing) {
+  FakeFleet fleet({});
+  const FlowHandle flow = fleet.OpenFlow();
+  for (int balancer = 1; balancer <= 3; ++balancer) {
+    fleet.Stop(balancer);
+    fleet.RunFor(Milliseconds(500));
+    fleet.EndStop(balancer);
+    fleet.RunFor(Milliseconds(50));
+    fleet.Restart(balancer);
+    fleet.RunFor(Seconds(2));
+  }
+  const WorkOrder order = fleet.Order();
+  CHECK_CODE(ResultCode::kOk, fleet.AskAndWait(flow, "edits", order).code);
+  LONGS_EQUAL(1, fleet.Starts(order.tag));
+}
+
 TEST(Fleet, AnOwnerThatSleptThroughTheDeadlineSendsNothing) {
   FakeFleet fleet({});
   const FlowHandle flow = fleet.OpenFlow();
@@ -519,12 +559,10 @@
 }
 
 TEST(BadInput, ATokenOfAnotherServiceIsRefused) {
-  fleet.PublishConfig(2, "[service notes]\naddresses = " +
-                             ToString(other_service) + "\ndata_centres = a\n");
+  const Endpoint notes{0x0a080003, 80};
   const FlowHandle handle = fleet.OpenFlow();
-  const Output out =
-      Give(other_service,
-           RequestWith(fleet.opened[handle], fleet.caller.TokenOf(handle)));
+  const Output out = Give(
+      notes, RequestWith(fleet.opened[handle], fleet.caller.TokenOf(handle)));
   CHECK_CODE(ResultCode::kWrongService, DroppedAs(out));
 }
 
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -5,8 +5,6 @@
 #include <map>
 #include <set>
 
-#include <xxhash.h>
-
 #include "core/member_base.h"
 #include "core/message_func.h"
 #include "tests/test_text.h"
@@ -29,8 +27,8 @@
       list.vms.push_back(vm);
     }
     for (const Vm& vm : list.vms) {
-      MemberInfo self{{vm.id, vm.incarnation}, 0, 0, vm.peer_address,
-                      XXH3_64bits("a", 1),     0};
+      const MemberInfo self =
+          MakeMember({vm.id, vm.incarnation}, vm.peer_address, "a");
       this->tables.emplace(vm.id, MemberTable(self, MembershipTiming{}));
       this->tables.at(vm.id).Propose(list, this->now);
     }
@@ -178,8 +176,8 @@
   Members members(3);
   members.Run(Seconds(1));
   members.tables.erase(VmId{2});
-  MemberInfo again{{VmId{2}, Incarnation{2}}, 0, 0, Members::AddressOf(VmId{2}),
-                   XXH3_64bits("a", 1),       0};
+  const MemberInfo again =
+      MakeMember({VmId{2}, Incarnation{2}}, Members::AddressOf(VmId{2}), "a");
   members.tables.emplace(VmId{2}, MemberTable(again, MembershipTiming{}));
   Output out;
   std::deque<std::pair<VmId, Datagram>> queue;
