Feeds: pushed events reach a caller once, in order, whichever balancer or backend server goes

Cause: callers watch a live status feed for hours; there was only request and answer. Ways weighed: a balancer that holds the subscription (lost with it, and renewals must be relayed to it); the backend server pushes to whichever balancer renewed last, with the caller's path in every event (kept: balancers remember nothing). A position is the time of an event, the same at every backend server, and each event names the one before it, so a gap shows and a feed goes on at another backend server (compare the resume by timestamp in Wikimedia's EventStreams redesign, where offsets of two clusters did not match). Change: follow, renew every 4 s, subscribe with a lease, event, gap repair; a backend server that does not answer two renewals is replaced.

--- a/src/core/caller_base.cc
+++ b/src/core/caller_base.cc
@@ -25,6 +25,10 @@
 constexpr uint32_t kMostParts = 4096;
 constexpr size_t kMostRuns = 4;
 constexpr size_t kPartsPerQuestion = 64;
+/** A feed's way to its caller is renewed this often, so that it heals within
+ * that time. */
+constexpr Milliseconds kFeedRenewal{4000};
+constexpr size_t kMostEarlyEvents = 256;
 constexpr std::array<char, kOpenPadding> kPaddingBytes{};
 constexpr std::string_view kPadding(kPaddingBytes.data(), kPaddingBytes.size());
 
@@ -87,6 +91,25 @@
   }
 }
 
+RequestKey Caller::FollowFeed(TimePoint now,
+                              FlowHandle handle,
+                              std::string topic,
+                              int64_t position) {
+  const RequestKey key{this->next_key++};
+  const auto flow = this->flows.find(handle);
+  if (flow == this->flows.end())
+    return key;
+  const RequestNumber number{flow->second.feeds.size() + 1};
+  Feed& feed = flow->second.feeds[number];
+  feed.key = key;
+  feed.number = number;
+  feed.topic = std::move(topic);
+  feed.position = position;
+  feed.renew_at = now;
+  this->Wake(now, handle);
+  return key;
+}
+
 void Caller::CloseFlow(FlowHandle handle) {
   const auto flow = this->flows.find(handle);
   if (flow == this->flows.end())
@@ -119,6 +142,14 @@
     case MessageType::kVerdict:
       handle(&Caller::OnVerdict);
       break;
+    case MessageType::kFeedEvent:
+      handle(&Caller::OnFeedEvent);
+      break;
+    case MessageType::kFollowing:
+      if (const Result<Following> following =
+              Decode<Following>(bytes, header.value()))
+        this->OnFollowing(now, following.value());
+      break;
     case MessageType::kReceipt:
       if (const Result<Receipt> receipt =
               Decode<Receipt>(bytes, header.value()))
@@ -427,6 +458,89 @@
   this->Wake(request->act_at, flow->handle);
 }
 
+void Caller::OnFeedEvent(TimePoint now,
+                         const FeedEvent& event,
+                         CallerOutput& out) {
+  Feed* const feed = this->FindFeed(event.flow, event.number);
+  if (feed == nullptr || event.position <= feed->position)
+    return;
+  Flow& flow = *this->FindFlow(event.flow);
+  feed->unanswered = 0;
+  const bool follows = feed->position == 0 || event.previous == feed->position;
+  if (!follows) {
+    if (feed->early.size() < kMostEarlyEvents)
+      feed->early[event.previous] = {event.position,
+                                     std::string(View(event.payload))};
+    // The missing ones may only be late; if not, they are asked for.
+    feed->renew_at = std::min(feed->renew_at, now + kPartGap);
+    this->Wake(feed->renew_at, flow.handle);
+    return;
+  }
+  this->DeliverEvent(flow, *feed, event.position,
+                     std::string(View(event.payload)), out);
+  for (auto next = feed->early.find(feed->position); next != feed->early.end();
+       next = feed->early.find(feed->position))
+    this->DeliverEvent(flow, *feed, next->second.position,
+                       std::move(next->second.payload), out);
+  feed->early.erase(feed->early.begin(),
+                    feed->early.lower_bound(feed->position));
+}
+
+void Caller::DeliverEvent(Flow& flow,
+                          Feed& feed,
+                          int64_t position,
+                          std::string payload,
+                          CallerOutput& out) {
+  feed.position = position;
+  CallerEvent event;
+  event.kind = CallerEvent::Kind::kFeedEvent;
+  event.flow_handle = flow.handle;
+  event.request = feed.key;
+  event.flow = flow.id;
+  event.number = feed.number;
+  event.position = position;
+  event.answer = std::move(payload);
+  out.events.push_back(std::move(event));
+}
+
+void Caller::OnFollowing(TimePoint now, const Following& following) {
+  Feed* const feed = this->FindFeed(following.flow, following.number);
+  if (feed == nullptr)
+    return;
+  feed->unanswered = 0;
+  feed->renew_at = now + kFeedRenewal;
+  this->Wake(feed->renew_at, this->FindFlow(following.flow)->handle);
+}
+
+void Caller::TickFeeds(TimePoint now, Flow& flow, CallerOutput& out) {
+  // Before the flow is open there is nothing to name it by.
+  if (flow.id == FlowId{} && !flow.feeds.empty())
+    this->Wake(now + kFirstBackoff, flow.handle);
+  if (flow.id == FlowId{})
+    return;
+  for (auto& [number, feed] : flow.feeds) {
+    if (feed.renew_at > now)
+      continue;
+    const Follow follow{flow.id,         MakeBlob(flow.token),
+                        number,          feed.position,
+                        feed.unanswered, MakeBlob(feed.topic)};
+    out.datagrams.push_back({flow.service, Encode(follow)});
+    // Until it is answered it is sent again soon: the path or the server may
+    // have failed.
+    ++feed.unanswered;
+    feed.renew_at = now + kStateInterval;
+    this->Wake(feed.renew_at, flow.handle);
+  }
+}
+
+Caller::Feed* Caller::FindFeed(FlowId id, RequestNumber number) {
+  Flow* const flow = this->FindFlow(id);
+  if (flow == nullptr)
+    return nullptr;
+  const auto feed = flow->feeds.find(number);
+  return feed == flow->feeds.end() ? nullptr : &feed->second;
+}
+
 void Caller::OnReceipt(TimePoint now, const Receipt& receipt) {
   Flow* const flow = this->FindFlow(receipt.flow);
   if (flow == nullptr)
@@ -478,6 +592,7 @@
   this->TickOpening(now, flow, out);
   if (flow.keepalive_at <= now)
     this->SendKeepalive(now, flow, out);
+  this->TickFeeds(now, flow, out);
   std::vector<RequestNumber> due;
   for (const auto& [number, request] : flow.pending) {
     if (request.act_at <= now || request.deadline <= now)
--- a/src/core/caller_base.h
+++ b/src/core/caller_base.h
@@ -57,6 +57,18 @@
               RequestKey key,
               CallerOutput& out);
 
+  /**
+   * Follows a feed; each event comes once, in order, and without gaps.
+   * @param topic What to follow.
+   * @param position Position of the last event in hand, 0 for events from now
+   * on.
+   * @return The feed, as events name it.
+   */
+  RequestKey FollowFeed(TimePoint now,
+                        FlowHandle handle,
+                        std::string topic,
+                        int64_t position);
+
   /** Forgets a flow; what is in progress ends without an event. */
   void CloseFlow(FlowHandle handle);
 
@@ -101,6 +113,23 @@
         ResultCode::kOutcomeUnknown;  ///< How it ends if nothing better comes.
   };
 
+  /** An event that came before the one it follows. */
+  struct EarlyEvent {
+    int64_t position = 0;
+    std::string payload;
+  };
+
+  /** A feed being followed. */
+  struct Feed {
+    RequestKey key;
+    RequestNumber number;
+    std::string topic;
+    int64_t position = 0;  ///< Last event delivered.
+    TimePoint renew_at;
+    uint32_t unanswered = 0;  ///< Renewals in a row without an answer.
+    std::map<int64_t, EarlyEvent> early;  ///< By the position they follow.
+  };
+
   /** A request that waits for its flow to open. */
   struct WaitingRequest {
     RequestKey key;
@@ -129,6 +158,7 @@
     Microseconds clock_offset{0};  ///< Fleet's time minus the caller's.
     std::map<RequestNumber, PendingRequest> pending;
     std::vector<WaitingRequest> waiting;
+    std::map<RequestNumber, Feed> feeds;
   };
 
   void SendOpen(TimePoint now, Flow& flow, CallerOutput& out);
@@ -158,6 +188,15 @@
   void OnOpened(TimePoint now, const Opened& opened, CallerOutput& out);
   void OnPart(TimePoint now, const Part& part, CallerOutput& out);
   void OnVerdict(TimePoint now, const Verdict& verdict, CallerOutput& out);
+  void OnFeedEvent(TimePoint now, const FeedEvent& event, CallerOutput& out);
+  void OnFollowing(TimePoint now, const Following& following);
+  void DeliverEvent(Flow& flow,
+                    Feed& feed,
+                    int64_t position,
+                    std::string payload,
+                    CallerOutput& out);
+  void TickFeeds(TimePoint now, Flow& flow, CallerOutput& out);
+  Feed* FindFeed(FlowId flow, RequestNumber number);
   void OnReceipt(TimePoint now, const Receipt& receipt);
   void OnMoved(TimePoint now,
                Flow& flow,
--- a/src/core/caller_type.h
+++ b/src/core/caller_type.h
@@ -21,7 +21,7 @@
 
 /** Something a caller is told. */
 struct CallerEvent {
-  enum class Kind : uint8_t { kOpened, kOpenFailed, kFinished };
+  enum class Kind : uint8_t { kOpened, kOpenFailed, kFinished, kFeedEvent };
 
   Kind kind = Kind::kFinished;
   FlowHandle flow_handle;
@@ -29,6 +29,7 @@
   FlowId flow;
   RequestNumber number;
   ResultCode code = ResultCode::kOk;
+  int64_t position = 0;     ///< Of a feed's event.
   std::string answer;       ///< The whole answer, with kOk.
   Microseconds latency{0};  ///< From the request, or the open, to this event.
   uint32_t attempts = 0;    ///< Times the request was sent.
--- a/src/core/message_type.h
+++ b/src/core/message_type.h
@@ -45,22 +45,30 @@
   kDone = 4,
   kCancel = 5,
   kReopen = 6,
+  kFollow = 7,
+  kUnfollow = 8,
   // Balancer to caller.
   kOpened = 16,
   kPart = 17,
   kVerdict = 18,
   kReceipt = 19,
+  kFeedEvent = 20,
+  kFollowing = 21,
   // Balancer to backend server.
   kRun = 32,
   kCancelRun = 33,
   kNeedRunParts = 34,
   kRunDone = 35,
+  kSubscribe = 36,
+  kUnsubscribe = 37,
   // Backend server to balancer.
   kAccepted = 48,
   kRunPart = 49,
   kRefused = 50,
   kCancelReply = 51,
   kRunLost = 52,
+  kPublishedEvent = 53,
+  kSubscribed = 54,
   // Between balancers.
   kPing = 64,
   kAck = 65,
@@ -366,6 +374,131 @@
   MSGPACK_DEFINE_ARRAY(run.value, load)
 };
 
+/** The way a caller's packet came, and its answer goes back. */
+struct CallerPath {
+  Endpoint caller;
+  Endpoint service;
+  Endpoint fabric;
+
+  auto operator<=>(const CallerPath&) const = default;
+  MSGPACK_DEFINE_ARRAY(caller, service, fabric)
+};
+
+/** A caller follows a feed, or goes on following it. */
+struct Follow {
+  static constexpr MessageType kType = MessageType::kFollow;
+  FlowId flow;
+  Blob token;
+  RequestNumber number;  ///< Of the feed inside the flow.
+  int64_t position = 0;  ///< Last event in hand; 0: from now on.
+  uint32_t attempt = 0;  ///< Renewals in a row that were not answered.
+  Blob topic;
+
+  bool operator==(const Follow&) const = default;
+  MSGPACK_DEFINE_ARRAY(flow.value,
+                       token,
+                       number.value,
+                       position,
+                       attempt,
+                       topic)
+};
+
+/** A caller stops following a feed. */
+struct Unfollow {
+  static constexpr MessageType kType = MessageType::kUnfollow;
+  FlowId flow;
+  Blob token;
+  RequestNumber number;
+
+  bool operator==(const Unfollow&) const = default;
+  MSGPACK_DEFINE_ARRAY(flow.value, token, number.value)
+};
+
+/** One event of a feed, on its way to a caller. */
+struct FeedEvent {
+  static constexpr MessageType kType = MessageType::kFeedEvent;
+  FlowId flow;
+  RequestNumber number;
+  int64_t position = 0;  ///< Time of the event, microseconds since the epoch;
+                         ///< the same at every backend server.
+  int64_t previous = 0;  ///< Position of the event before it; shows a gap.
+  Blob payload;
+
+  bool operator==(const FeedEvent&) const = default;
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value, position, previous, payload)
+};
+
+/** A feed is being followed. */
+struct Following {
+  static constexpr MessageType kType = MessageType::kFollowing;
+  FlowId flow;
+  RequestNumber number;
+
+  bool operator==(const Following&) const = default;
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value)
+};
+
+/** A balancer has a backend server push a feed to it, until the lease ends or
+ * another balancer renews it. */
+struct Subscribe {
+  static constexpr MessageType kType = MessageType::kSubscribe;
+  CallerPath path;  ///< Comes back with every event, so that the balancer need
+                    ///< not remember it.
+  FlowId flow;
+  RequestNumber number;
+  int64_t position = 0;
+  int64_t lease_until = 0;  ///< Microseconds since the epoch.
+  Blob topic;
+
+  bool operator==(const Subscribe&) const = default;
+  MSGPACK_DEFINE_ARRAY(path,
+                       flow.value,
+                       number.value,
+                       position,
+                       lease_until,
+                       topic)
+};
+
+/** A balancer ends a subscription. */
+struct Unsubscribe {
+  static constexpr MessageType kType = MessageType::kUnsubscribe;
+  FlowId flow;
+  RequestNumber number;
+
+  bool operator==(const Unsubscribe&) const = default;
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value)
+};
+
+/** A backend server pushes one event. */
+struct PublishedEvent {
+  static constexpr MessageType kType = MessageType::kPublishedEvent;
+  CallerPath path;
+  FlowId flow;
+  RequestNumber number;
+  int64_t position = 0;
+  int64_t previous = 0;
+  Blob payload;
+
+  bool operator==(const PublishedEvent&) const = default;
+  MSGPACK_DEFINE_ARRAY(path,
+                       flow.value,
+                       number.value,
+                       position,
+                       previous,
+                       payload)
+};
+
+/** A backend server has taken or renewed a subscription. */
+struct Subscribed {
+  static constexpr MessageType kType = MessageType::kSubscribed;
+  CallerPath path;
+  FlowId flow;
+  RequestNumber number;
+
+  bool operator==(const Subscribed&) const = default;
+  MSGPACK_DEFINE_ARRAY(path, flow.value, number.value)
+};
+
 /** A caller's packet on its way between fabric and balancer. */
 struct FabricPacket {
   static constexpr MessageType kType = MessageType::kFabricPacket;
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -45,6 +45,15 @@
       return table.ForRequest(service, preferred, flow, now);
     });
   }
+  Result<Target> ForFeed(ServiceId service,
+                         const Holder& preferred,
+                         FlowId flow,
+                         uint32_t attempt,
+                         TimePoint now) {
+    return this->table.With([&](Table& table) {
+      return table.ForFeed(service, preferred, flow, attempt, now);
+    });
+  }
   Result<Target> ForRetry(ServiceId service,
                           VmId refuser,
                           TimePoint now,
@@ -149,6 +158,12 @@
       return;
     }
     switch (header.value().type) {
+      case MessageType::kPublishedEvent:
+        this->OnPublishedEvent(bytes, header.value(), out);
+        break;
+      case MessageType::kSubscribed:
+        this->OnSubscribed(bytes, header.value(), out);
+        break;
       case MessageType::kAccepted:
         this->ForRun<Accepted>(now, bytes, header.value(),
                                &NodeShard::OnAccepted, random, out);
@@ -335,6 +350,8 @@
   static constexpr Milliseconds kPlacementSync{100};
   /** Clocks of two VMs may differ by less than this. */
   static constexpr Seconds kClosureMargin{2};
+  /** Callers renew far more often; a feed nobody renews ends with it. */
+  static constexpr Seconds kFeedLease{30};
   static constexpr Milliseconds kFirstPingInterval{200};
   static constexpr Milliseconds kWaitAfterPeer{300};
   static constexpr Milliseconds kWaitForPeers{1000};
@@ -425,6 +442,12 @@
       case MessageType::kRequest:
         this->OnRequest(call, arrival);
         break;
+      case MessageType::kFollow:
+        this->OnFollow(call, arrival);
+        break;
+      case MessageType::kUnfollow:
+        this->OnUnfollow(call, arrival);
+        break;
       case MessageType::kNeedParts:
         this->ToHolder<NeedParts>(
             call, arrival, [&](NodeShard& shard, const NeedParts& message) {
@@ -633,6 +656,88 @@
     SendNextToken(call.board, path, request.number, code, next, call.out);
   }
 
+  /** Any balancer may carry a feed; what it would have to remember comes back
+   * with every event. */
+  void OnFollow(const ShardCall& call, const Arrival& arrival) {
+    const Result<Follow> follow = Decode<Follow>(arrival.bytes, arrival.header);
+    if (!follow) {
+      this->Drop(follow.error().code, "follow", call.out);
+      return;
+    }
+    const Follow& message = follow.value();
+    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
+                                                 message.number, message.token);
+    if (!token)
+      return;
+    const Holder preferred{token.value().backend,
+                           token.value().backend_incarnation};
+    const Result<Target> target =
+        this->placement.ForFeed(token.value().service, preferred, message.flow,
+                                message.attempt, call.now);
+    if (!target) {
+      this->Drop(target.error().code, "follow", call.out);
+      return;
+    }
+    const Route route{RouteKind::kLocal,
+                      ResultCode::kOk,
+                      target.value().vm,
+                      {},
+                      target.value().reason};
+    this->LogRoute("follow", message.flow, message.number, route, call.out);
+    const Subscribe subscribe{arrival.path,
+                              message.flow,
+                              message.number,
+                              message.position,
+                              ToWire(call.now + kFeedLease),
+                              message.topic};
+    call.out.datagrams.push_back(
+        {Lane::kBackend, target.value().address, Encode(subscribe)});
+  }
+
+  void OnUnfollow(const ShardCall& call, const Arrival& arrival) {
+    const Result<Unfollow> unfollow =
+        Decode<Unfollow>(arrival.bytes, arrival.header);
+    if (!unfollow) {
+      this->Drop(unfollow.error().code, "follow", call.out);
+      return;
+    }
+    const Unfollow& message = unfollow.value();
+    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
+                                                 message.number, message.token);
+    if (!token)
+      return;
+    // If the feed has moved, its lease ends it.
+    const Endpoint backend = this->placement.AddressOf(token.value().backend);
+    call.out.datagrams.push_back(
+        {Lane::kBackend, backend,
+         Encode(Unsubscribe{message.flow, message.number})});
+  }
+
+  void OnPublishedEvent(std::string_view bytes,
+                        const Header& header,
+                        Output& out) {
+    const Result<PublishedEvent> event = Decode<PublishedEvent>(bytes, header);
+    if (!event) {
+      this->Drop(event.error().code, "backend", out);
+      return;
+    }
+    const PublishedEvent& message = event.value();
+    const FeedEvent forwarded{message.flow, message.number, message.position,
+                              message.previous, message.payload};
+    SendToCaller(message.path, Encode(forwarded), out);
+  }
+
+  void OnSubscribed(std::string_view bytes, const Header& header, Output& out) {
+    const Result<Subscribed> subscribed = Decode<Subscribed>(bytes, header);
+    if (!subscribed) {
+      this->Drop(subscribed.error().code, "backend", out);
+      return;
+    }
+    const Subscribed& message = subscribed.value();
+    SendToCaller(message.path, Encode(Following{message.flow, message.number}),
+                 out);
+  }
+
   /** Handles a message about a request that one balancer holds. */
   template <class Message, class Handle>
   void ToHolder(const ShardCall& call, const Arrival& arrival, Handle handle) {
--- a/src/core/placement_base.h
+++ b/src/core/placement_base.h
@@ -77,16 +77,23 @@
         TakesWork(known->second, now) && known->second.avoid_until <= now;
     if (usable)
       return MakeTarget(known->second, "flow");
-    const std::vector<BackendState*> candidates =
-        this->Candidates(service, VmId{}, now);
-    if (candidates.empty())
-      return Error{ResultCode::kNoBackend, "no backend server takes requests"};
-    return MakeTarget(**std::ranges::max_element(
-                          candidates, {},
-                          [flow](const BackendState* state) {
-                            return RendezvousScore(flow.value, state->vm.value);
-                          }),
-                      "flow_moved");
+    return this->ByRendezvous(service, VmId{}, flow, now);
+  }
+
+  /**
+   * @param attempt Subscriptions in a row that the backend server did not
+   * answer.
+   * @return A backend server for a feed, the same at every balancer, or
+   * kNoBackend.
+   */
+  Result<Target> ForFeed(ServiceId service,
+                         const Holder& preferred,
+                         FlowId flow,
+                         uint32_t attempt,
+                         TimePoint now) {
+    if (attempt < kFeedAttempts)
+      return this->ForRequest(service, preferred, flow, now);
+    return this->ByRendezvous(service, preferred.vm, flow, now);
   }
 
   /** @return Another backend server than `refuser` for a request that was not
@@ -159,6 +166,8 @@
   /** Time in which a cold backend server's share grows to a full one. */
   static constexpr Seconds kWarmUp{10};
   static constexpr double kColdShare = 0.1;
+  /** Unanswered subscriptions after which a feed goes to another. */
+  static constexpr uint32_t kFeedAttempts = 2;
   static constexpr int kSilencesToAvoid = 2;
   static constexpr int kMostDoublings = 4;
   static constexpr Milliseconds kAvoidFirst{500};
@@ -223,6 +232,21 @@
     return answering.empty() ? silent : answering;
   }
 
+  Result<Target> ByRendezvous(ServiceId service,
+                              VmId excluded,
+                              FlowId flow,
+                              TimePoint now) {
+    const std::vector<BackendState*> candidates =
+        this->Candidates(service, excluded, now);
+    if (candidates.empty())
+      return Error{ResultCode::kNoBackend, "no backend server takes requests"};
+    const auto score = [flow](const BackendState* state) {
+      return RendezvousScore(flow.value, state->vm.value);
+    };
+    return MakeTarget(**std::ranges::max_element(candidates, {}, score),
+                      "flow_moved");
+  }
+
   BackendState* Find(VmId vm) {
     const auto known = this->backends.find(vm);
     return known == this->backends.end() ? nullptr : &known->second;
--- a/src/core/request_type.h
+++ b/src/core/request_type.h
@@ -16,15 +16,6 @@
 
 namespace cuminvane {
 
-/** The way a caller's packet came, and its answer goes back. */
-struct CallerPath {
-  Endpoint caller;
-  Endpoint service;
-  Endpoint fabric;
-
-  auto operator<=>(const CallerPath&) const = default;
-};
-
 /** How far a request has come. */
 enum class RequestState : uint8_t {
   kAnnounced,  ///< The witness was told; not sent yet.
--- a/src/standin/backend_base.cc
+++ b/src/standin/backend_base.cc
@@ -10,6 +10,10 @@
 
 /** Answers and withdrawals are remembered this long past the run's deadline. */
 constexpr Seconds kMemory{5};
+/** Every backend server has the same event at the same multiple of this. */
+constexpr Microseconds kFeedPeriod{200000};
+/** Events sent again to one caller in one tick. */
+constexpr int kEventsPerTick = 32;
 
 template <class Message>
 void Send(const Endpoint& to, const Message& message, Output& out) {
@@ -50,9 +54,16 @@
   if (const Result<NeedRunParts> question =
           Decode<NeedRunParts>(bytes, header.value()))
     this->OnNeedParts(from, question.value(), out);
+  if (const Result<Subscribe> subscribe =
+          Decode<Subscribe>(bytes, header.value()))
+    this->OnSubscribe(now, from, subscribe.value(), out);
+  if (const Result<Unsubscribe> end =
+          Decode<Unsubscribe>(bytes, header.value()))
+    this->subscriptions.erase({end.value().flow, end.value().number});
 }
 
 void Backend::Tick(TimePoint now, Output& out) {
+  this->PushEvents(now, out);
   while (!this->running.empty() && this->running.begin()->first <= now) {
     const RunId run = this->running.begin()->second;
     this->running.erase(this->running.begin());
@@ -190,6 +201,48 @@
   this->SendAnswer(question.run, job, wanted, out);
 }
 
+void Backend::OnSubscribe(TimePoint now,
+                          const Endpoint& from,
+                          const Subscribe& subscribe,
+                          Output& out) {
+  Subscription& subscription =
+      this->subscriptions[{subscribe.flow, subscribe.number}];
+  subscription.balancer = from;
+  subscription.path = subscribe.path;
+  subscription.topic = View(subscribe.topic);
+  subscription.lease_until = FromWire(subscribe.lease_until);
+  // The caller's position counts: what was pushed after it may have been lost.
+  const int64_t present =
+      ToWire(now) / kFeedPeriod.count() * kFeedPeriod.count();
+  if (subscribe.position != 0)
+    subscription.position = subscribe.position;
+  else if (subscription.position == 0)
+    subscription.position = present;
+  Send(from, Subscribed{subscribe.path, subscribe.flow, subscribe.number}, out);
+}
+
+void Backend::PushEvents(TimePoint now, Output& out) {
+  std::erase_if(this->subscriptions, [now](const auto& item) {
+    return item.second.lease_until <= now;
+  });
+  for (auto& [key, subscription] : this->subscriptions) {
+    for (int sent = 0;
+         sent < kEventsPerTick &&
+         subscription.position + kFeedPeriod.count() <= ToWire(now);
+         ++sent) {
+      const int64_t previous = subscription.position;
+      subscription.position += kFeedPeriod.count();
+      const std::string payload = this->options.service + " " +
+                                  subscription.topic + " " +
+                                  std::to_string(subscription.position);
+      Send(subscription.balancer,
+           PublishedEvent{subscription.path, key.flow, key.number,
+                          subscription.position, previous, MakeBlob(payload)},
+           out);
+    }
+  }
+}
+
 void Backend::StartNext(TimePoint now, Output& out) {
   while (this->running.size() < this->options.slots && !this->queue.empty()) {
     const RunId run = this->queue.front();
--- a/src/standin/backend_base.h
+++ b/src/standin/backend_base.h
@@ -106,6 +106,11 @@
   void OnNeedParts(const Endpoint& from,
                    const NeedRunParts& question,
                    Output& out);
+  void OnSubscribe(TimePoint now,
+                   const Endpoint& from,
+                   const Subscribe& subscribe,
+                   Output& out);
+  void PushEvents(TimePoint now, Output& out);
   void StartNext(TimePoint now, Output& out);
   void SendAnswer(RunId run,
                   const Job& job,
@@ -123,7 +128,25 @@
             Microseconds busy);
   LoadReport Load() const;
 
+  /** Names a subscription. */
+  struct FeedKey {
+    FlowId flow;
+    RequestNumber number;
+
+    auto operator<=>(const FeedKey&) const = default;
+  };
+
+  /** A feed that is pushed to whichever balancer renewed it last. */
+  struct Subscription {
+    Endpoint balancer;
+    CallerPath path;
+    std::string topic;
+    int64_t position = 0;  ///< Last event sent.
+    TimePoint lease_until;
+  };
+
   BackendOptions options;
+  std::map<FeedKey, Subscription> subscriptions;
   std::map<RunId, Job> jobs;
   std::deque<RunId> queue;
   std::multimap<TimePoint, RunId> running;  ///< By the end of the work.
--- a/tests/fleet_fake.cc
+++ b/tests/fleet_fake.cc
@@ -199,6 +199,10 @@
   this->backends[backend] = std::make_unique<Backend>(backend_options);
 }
 
+void FakeFleet::KillBackend(int backend) {
+  this->backends.erase(backend);
+}
+
 void FakeFleet::Cut(uint32_t first_vm, uint32_t second_vm) {
   this->cuts.insert({first_vm, second_vm});
   this->cuts.insert({second_vm, first_vm});
@@ -357,8 +361,10 @@
   if ((flight.to.ip & kNetMask) == kBackendNet) {
     Output out;
     const int number = static_cast<int>(flight.to.ip - kBackendNet);
-    this->backends.at(number)->OnPacket(this->now, flight.from, flight.bytes,
-                                        out);
+    const auto backend = this->backends.find(number);
+    if (backend == this->backends.end())
+      return;
+    backend->second->OnPacket(this->now, flight.from, flight.bytes, out);
     this->Carry(flight.to, out);
     return;
   }
@@ -431,6 +437,8 @@
   for (const CallerEvent& event : std::exchange(this->caller_out.events, {})) {
     if (event.kind == CallerEvent::Kind::kOpened)
       this->opened[event.flow_handle] = event.flow;
+    if (event.kind == CallerEvent::Kind::kFeedEvent)
+      this->feed_events.push_back(event);
     if (event.kind == CallerEvent::Kind::kFinished)
       this->ended[event.request] = event;
   }
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -75,6 +75,8 @@
    */
   void Pause(int balancer);
   void Resume(int balancer);
+  /** A backend server is gone, with all it knew. */
+  void KillBackend(int backend);
   /** A backend server starts again at the same address. */
   void RestartBackend(int backend);
   /** No datagram passes between the two VMs. */
@@ -127,6 +129,7 @@
   Caller caller;
   std::map<RequestKey, CallerEvent> ended;
   std::map<FlowHandle, FlowId> opened;
+  std::vector<CallerEvent> feed_events;  ///< In the order of delivery.
   std::vector<Decision> decisions;
   std::vector<std::pair<int, BackendEvent>>
       backend_events;            ///< Of all backend servers, in order of time.
