--- a/src/bin/cuminvane_call.cc
+++ b/src/bin/cuminvane_call.cc
@@ -55,7 +55,7 @@
       "Load: "
       "service=NAME;address=A.B.C.D:PORT;class=NAME;idempotent=yes|no;flows=N;"
       "requests=N;parts=N;busy_ms=N;"
-      "deadline_ms=N (may be given several times)",
+      "deadline_ms=N;follows=yes|no (may be given several times)",
       value<std::vector<std::string>>()->default_value(""))(
       "seconds", "Load: time over which flows and requests are spread",
       value<int>()->default_value("10"))("seed", "Load: seed of its choices",
--- a/src/shell/load_base.cc
+++ b/src/shell/load_base.cc
@@ -103,6 +103,17 @@
   return "";
 }
 
+/** What a flow's feed came to. */
+struct FeedFacts {
+  uint64_t events = 0;
+  int64_t position = 0;  ///< Of the last event.
+  int64_t step =
+      0;  ///< Between the first two events; every later step must be the same.
+  uint64_t gaps = 0;  ///< Steps of another size: events lost or repeated.
+  TimePoint last_at;
+  Microseconds longest_silence{0};
+};
+
 /** One flow of the load. */
 struct LoadFlow {
   size_t mix = 0;
@@ -113,6 +124,7 @@
   bool follow_up = false;
   bool last_answered =
       false;  ///< Whether the request that ended last was answered.
+  FeedFacts feed;
 };
 
 /** A request of the load in progress. */
@@ -159,8 +171,10 @@
     for (size_t mix = 0; mix < this->options.mixes.size(); ++mix) {
       for (int number = 0; number < this->options.mixes[mix].flows; ++number) {
         const size_t flow = this->flows.size();
-        this->flows.push_back(
-            {mix, {}, {}, this->options.mixes[mix].requests, 0, false, false});
+        LoadFlow planned;
+        planned.mix = mix;
+        planned.unsent = this->options.mixes[mix].requests;
+        this->flows.push_back(planned);
         std::uniform_real_distribution<double> opens(0, kOpenShare);
         const double open = opens(this->process.random);
         this->steps.push({begin + Spread(whole, open), flow, true});
@@ -188,6 +202,9 @@
             now, this->options.mixes[flow.mix].address, now + kOpenPatience,
             this->process.out);
         this->by_handle[flow.handle] = step.flow;
+        if (this->options.mixes[flow.mix].follows)
+          this->process.caller.FollowFeed(
+              now, flow.handle, this->options.mixes[flow.mix].service, 0);
       } else {
         --flow.unsent;
         this->Ask(now, step.flow);
@@ -220,12 +237,37 @@
       const size_t index = this->by_handle.at(event.flow_handle);
       if (event.kind == CallerEvent::Kind::kOpened)
         this->flows[index].id = event.flow;
+      if (event.kind == CallerEvent::Kind::kFeedEvent)
+        NoteFeedEvent(event.position, this->flows[index].feed);
       if (event.kind == CallerEvent::Kind::kFinished)
         this->OnFinished(event, index);
     }
     this->process.Carry();
   }
 
+  static void NoteFeedEvent(int64_t position, FeedFacts& feed) {
+    const TimePoint now = ReadClock();
+    ++feed.events;
+    if (feed.events == 2)
+      feed.step = position - feed.position;
+    if (feed.events > 2 && position - feed.position != feed.step)
+      ++feed.gaps;
+    if (feed.events > 1)
+      feed.longest_silence =
+          std::max<Microseconds>(feed.longest_silence, now - feed.last_at);
+    feed.position = position;
+    feed.last_at = now;
+  }
+
+  void RecordFeed(const LoadFlow& flow) {
+    if (!this->options.mixes[flow.mix].follows)
+      return;
+    this->record << "event=feed flow=" << flow.id.value
+                 << " events=" << flow.feed.events << " gaps=" << flow.feed.gaps
+                 << " longest_silence_us=" << flow.feed.longest_silence.count()
+                 << "\n";
+  }
+
   void OnFinished(const CallerEvent& event, size_t index) {
     const LoadRequest request = this->requests.at(event.request);
     this->requests.erase(event.request);
@@ -266,6 +308,8 @@
   }
 
   void Report() {
+    for (const LoadFlow& flow : this->flows)
+      this->RecordFeed(flow);
     std::cout << "flows=" << this->flows.size() << " requests=" << this->tags;
     for (const auto& [code, count] : this->ends)
       std::cout << " " << ToString(code) << "=" << count;
@@ -308,6 +352,10 @@
     mix.idempotent = value == "yes";
     return value == "yes" || value == "no";
   }
+  if (key == "follows") {
+    mix.follows = value == "yes";
+    return value == "yes" || value == "no";
+  }
   if (key == "address") {
     mix.address = ParseEndpoint(value).value_or(Endpoint{});
     return mix.address != Endpoint{};
--- a/src/shell/load_base.h
+++ b/src/shell/load_base.h
@@ -24,6 +24,7 @@
   uint32_t parts = 1;
   Microseconds busy{0};  ///< Mean time a request takes a slot.
   Milliseconds deadline{5000};
+  bool follows = false;  ///< Each flow follows a feed as well.
 
   bool operator==(const LoadMix&) const = default;
 };
--- a/src/standin/figures_role.cc
+++ b/src/standin/figures_role.cc
@@ -24,6 +24,8 @@
 constexpr double kP99 = 0.99;
 /** The brief: no new work after a few seconds. */
 constexpr double kFewSeconds = 3;
+/** A lost way is renewed within seconds; see docs/DESIGN.md on feeds. */
+constexpr double kFeedHealsWithin = 10;
 
 /** Bounds that the classes' targets set. */
 struct TargetBounds {
@@ -167,6 +169,21 @@
     return worst;
   }
 
+  double SumOfFeeds(const std::string& key) const {
+    double sum = 0;
+    for (const RecordLine& line : this->caller_lines)
+      sum += TextOf(line, "event") == "feed" ? NumberOf(line, key) : 0;
+    return sum;
+  }
+
+  double MaxOfFeeds(const std::string& key) const {
+    double most = 0;
+    for (const RecordLine& line : this->caller_lines)
+      most = std::max(
+          most, TextOf(line, "event") == "feed" ? NumberOf(line, key) : 0);
+    return most;
+  }
+
   double AnswerP99Ms() const {
     std::vector<double> latencies;
     for (const RecordLine& line : this->caller_lines) {
@@ -249,6 +266,10 @@
   print.AtMost("answer_p99_ms", figures.AnswerP99Ms(), "ms", bounds.within_ms);
   print.AtLeast("requests_answered_percent", figures.AnsweredPercent(),
                 "percent", bounds.answered_percent);
+  print.AtMost("feed_gaps", figures.SumOfFeeds("gaps"), "gaps", 0);
+  print.AtMost("feed_longest_silence_s",
+               figures.MaxOfFeeds("longest_silence_us") / kMicrosecondsPerS,
+               "s", kFeedHealsWithin);
   std::cout << "requests=" << figures.CountCallerLines("event", "request")
             << " flows=" << figures.CountCallerLines("event", "flow")
             << " not_run=" << figures.CountCallerLines("outcome", "not_run")
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -119,7 +119,7 @@
 
 start caller "$bin/cuminvane-call" --seed "$seed" --seconds 40 --record "$run/caller-1.records" \
   --mix "service=rehearsal;address=127.0.0.1:$base;class=edits;idempotent=no;flows=700;requests=10;parts=1;busy_ms=25;deadline_ms=5000" \
-  --mix "service=rehearsal;address=127.0.0.1:$base;class=sessions;idempotent=yes;flows=800;requests=10;parts=2;busy_ms=20;deadline_ms=5000" \
+  --mix "service=rehearsal;address=127.0.0.1:$base;class=sessions;idempotent=yes;flows=800;requests=10;parts=2;busy_ms=20;deadline_ms=5000;follows=yes" \
   --mix "service=scripts;address=127.0.0.1:$((base + 1));class=deliveries;idempotent=yes;flows=500;requests=10;parts=24;busy_ms=25;deadline_ms=8000"
 
 sleep 10
