Intents are smaller; documents are checked in time linear in their size

Ruled out: leaving Done packets unrelayed (the owner would keep answers until their deadlines and a stop would wait for them). Change: an intent carries the time left in place of the deadline, its reply no longer names the witness (a number has one); duplicate sections are found by a map, services and classes are sorted and looked up by bisection, also for each packet.

--- a/src/core/config_func.cc
+++ b/src/core/config_func.cc
@@ -23,6 +23,12 @@
   return error == std::errc{} && end == last ? KeyNumber{number} : KeyNumber{};
 }
 
+template <class Item, class Id>
+const Item* FindById(const std::vector<Item>& sorted, Id id) {
+  const auto found = std::ranges::lower_bound(sorted, id, {}, &Item::id);
+  return found != sorted.end() && found->id == id ? &*found : nullptr;
+}
+
 /** Parses one document; every problem is added, none stops the rest. */
 class ConfigParser {
  public:
@@ -32,6 +38,9 @@
   void ParseAll() {
     for (const IniSection& raw : this->document.sections)
       this->ParseSection(raw);
+    // Looked up for every packet, so they are in order of id.
+    std::ranges::sort(this->check.config.services, {}, &Service::id);
+    std::ranges::sort(this->check.config.classes, {}, &WorkClass::id);
     for (const IniSection& raw : this->document.sections)
       this->CheckReferences(raw);
   }
@@ -190,13 +199,11 @@
 }
 
 const Service* FindService(const Config& config, ServiceId id) {
-  const auto service = std::ranges::find(config.services, id, &Service::id);
-  return service == config.services.end() ? nullptr : &*service;
+  return FindById(config.services, id);
 }
 
 const WorkClass* FindClass(const Config& config, ClassId id) {
-  const auto work = std::ranges::find(config.classes, id, &WorkClass::id);
-  return work == config.classes.end() ? nullptr : &*work;
+  return FindById(config.classes, id);
 }
 
 const PlannedChange* FindChange(const Config& config,
--- a/src/core/config_type.h
+++ b/src/core/config_type.h
@@ -67,8 +67,8 @@
 /** One accepted configuration document. */
 struct Config {
   ConfigVersion version;
-  std::vector<Service> services;
-  std::vector<WorkClass> classes;
+  std::vector<Service> services;   ///< In ascending order of id.
+  std::vector<WorkClass> classes;  ///< In ascending order of id.
   std::vector<PlannedChange> changes;
   std::map<KeyNumber, TokenKey> keys;
 
--- a/src/core/ini_func.cc
+++ b/src/core/ini_func.cc
@@ -6,6 +6,7 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <map>
 #include <sstream>
 
 namespace cuminvane {
@@ -17,6 +18,7 @@
   IniDocument& document;
   IniProblems& problems;
   int line = 0;
+  std::map<std::string, int> section_lines;  ///< Lines of the headers so far.
 };
 
 std::string_view Trim(std::string_view text) {
@@ -28,16 +30,16 @@
 }
 
 void OpenSection(Reading& reading, std::string_view name) {
-  auto& sections = reading.document.sections;
-  const auto earlier = std::ranges::find(sections, name, &IniSection::name);
-  if (earlier != sections.end()) {
+  const auto [earlier, is_new] =
+      reading.section_lines.emplace(std::string(name), reading.line);
+  if (!is_new) {
     reading.problems.push_back({reading.document.file, reading.line,
                                 std::string(name), "",
                                 "the section again (first on line " +
-                                    std::to_string(earlier->line) + ")",
+                                    std::to_string(earlier->second) + ")",
                                 "each section once"});
   }
-  sections.push_back({std::string(name), reading.line, {}});
+  reading.document.sections.push_back({std::string(name), reading.line, {}});
 }
 
 /** inih reports no empty sections, so headers are noticed here as lines go by.
@@ -138,7 +140,7 @@
                     std::string_view text,
                     IniProblems& problems) {
   IniDocument document{file, {}};
-  Reading reading{text, document, problems};
+  Reading reading{text, document, problems, 0, {}};
   ini_parse_stream(NextLine, &reading, TakeEntry, &reading);
   FindUnreadable(document, text, problems);
   return document;
--- a/src/core/message_type.h
+++ b/src/core/message_type.h
@@ -510,28 +510,30 @@
   MSGPACK_DEFINE_ARRAY(caller, service, packet)
 };
 
-/** An owner tells its witness that it is about to dispatch a request. */
+/** An owner tells its witness that it is about to dispatch a request; small,
+ * since each such request costs one. */
 struct Intent {
   static constexpr MessageType kType = MessageType::kIntent;
   FlowId flow;
   RequestNumber number;
   Holder owner;
-  int64_t deadline = 0;  ///< Of the request; microseconds since the epoch.
+  uint32_t left_ms =
+      0;  ///< Time left until the request's deadline, rounded up.
 
   bool operator==(const Intent&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, number.value, owner, deadline)
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value, owner, left_ms)
 };
 
-/** A witness answers an intent. */
+/** A witness answers an intent; a number has one witness only, so it need not
+ * name itself. */
 struct IntentReply {
   static constexpr MessageType kType = MessageType::kIntentReply;
   FlowId flow;
   RequestNumber number;
-  Holder witness;
   bool granted = false;  ///< False: the owner is closed for the flow.
 
   bool operator==(const IntentReply&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, number.value, witness, granted)
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value, granted)
 };
 
 /** A caller's packet handed from one balancer to another. */
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -827,16 +827,15 @@
       return;
     }
     const Intent& message = intent.value();
-    const TimePoint latest = now + this->settings.requests.deadline_limit;
-    const TimePoint forget_at =
-        std::min(FromWire(message.deadline), latest) + kClosureMargin;
+    const auto left = std::min(Milliseconds(message.left_ms),
+                               this->settings.requests.deadline_limit);
+    const TimePoint forget_at = now + left + kClosureMargin;
     const bool granted =
         this->WitnessOf(message.flow).With([&](WitnessTable& witness) {
           return witness.Announce(message.flow, message.owner, message.number,
                                   forget_at);
         });
-    const IntentReply reply{message.flow, message.number,
-                            SelfHolder(this->settings), granted};
+    const IntentReply reply{message.flow, message.number, granted};
     out.datagrams.push_back({Lane::kPeer, from, Encode(reply)});
   }
 
--- a/src/core/shard_base.h
+++ b/src/core/shard_base.h
@@ -231,8 +231,7 @@
   /** Handles the witness's answer to an intent. */
   void OnIntentReply(const ShardCall& call, const IntentReply& reply) {
     RequestRecord* const record = this->Find(reply.flow, reply.number);
-    if (record == nullptr || record->state != RequestState::kAnnounced ||
-        record->token.witness != reply.witness)
+    if (record == nullptr || record->state != RequestState::kAnnounced)
       return;
     if (!reply.granted) {
       this->MoveRecord(call, reply.flow, *record, "closed_by_witness");
@@ -482,8 +481,10 @@
     }
     ++record.announcements;
     record.state = RequestState::kAnnounced;
+    const auto left =
+        std::chrono::ceil<Milliseconds>(record.deadline - call.now);
     const Intent intent{flow, record.number, record.token.owner,
-                        ToWire(record.deadline)};
+                        static_cast<uint32_t>(left.count())};
     call.out.datagrams.push_back({Lane::kPeer, witness->peer, Encode(intent)});
     this->Schedule(record, flow, call.now + kAnnouncementWait);
   }
