The control plane of a balancer is a module of its own

Change: control_base.h (membership, documents, key in use, board), the shared placement and the note of a drop are files of their own; behaviour as before.

--- /dev/null
+++ b/src/core/control_base.h
@@ -0,0 +1,386 @@
+/** @file control_base.h What balancers agree on without a coordinator:
+ * membership, documents, the key in use. */
+
+#ifndef CUMINVANE_CORE_CONTROL_BASE_H_
+#define CUMINVANE_CORE_CONTROL_BASE_H_
+
+#include <atomic>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/board_base.h"
+#include "core/document_base.h"
+#include "core/drop_func.h"
+#include "core/member_base.h"
+#include "core/message_func.h"
+#include "core/rendezvous_func.h"
+
+namespace cuminvane {
+
+/**
+ * Keeps the blackboard: documents, members and how this process stands.
+ *
+ * Any thread may call in. Membership and each document are behind their own
+ * lock; what changes is written to the board while that lock is held, so that
+ * no older state comes after a newer one.
+ *
+ * @tparam Mutex Lock of every part.
+ */
+template <Lockable Mutex>
+class ControlPlane {
+ public:
+  /** @param settings Must outlive this; its incarnation must be set. */
+  explicit ControlPlane(const Settings& settings)
+      : settings(settings), members(MakeSelf(settings), settings.membership) {
+    SelfState self;
+    self.id = SelfHolder(settings);
+    this->board.Write(&BoardView::self, std::make_shared<const SelfState>(self),
+                      BoardSource::kOperator, TimePoint{});
+  }
+
+  /** @return Every belief of this balancer. */
+  std::shared_ptr<const BoardView> Beliefs() const {
+    return this->board.Read();
+  }
+
+  /** @return Whether a document has changed since the last call. */
+  bool TakeDocumentsChanged() {
+    return this->documents_changed.exchange(false);
+  }
+
+  /**
+   * Takes a document that was read from the platform.
+   * @return As DocumentStore::Offer.
+   */
+  Result<void> OfferDocument(TimePoint now,
+                             DocumentKind kind,
+                             std::string_view text,
+                             RandomEngine& random,
+                             Output& out) {
+    const std::vector<Endpoint> peers = this->PeerEndpoints();
+    Result<void> taken = kind == DocumentKind::kConfig
+                             ? this->config.With([&](auto& store) {
+                                 return store.Offer(text, peers, random, out);
+                               })
+                             : this->vms.With([&](auto& store) {
+                                 return store.Offer(text, peers, random, out);
+                               });
+    this->PublishDocuments(now);
+    return taken;
+  }
+
+  /** Sends due probes, asks again for what did not come, begins to serve. */
+  void Tick(TimePoint now, RandomEngine& random, Output& out) {
+    this->members.With(
+        [&](MemberTable& table) { table.Tick(now, random, out); });
+    this->PublishMembers(now);
+    this->config.With([&](auto& store) { store.Tick(now, out); });
+    this->vms.With([&](auto& store) { store.Tick(now, out); });
+    this->TickStart(now, out);
+  }
+
+  /** Handles a heartbeat message; the header tells which. */
+  void OnMembership(TimePoint now,
+                    const Endpoint& from,
+                    std::string_view bytes,
+                    const Header& header,
+                    Output& out) {
+    if (header.type == MessageType::kPing) {
+      const Result<Ping> ping = Decode<Ping>(bytes, header);
+      if (!ping) {
+        NoteDrop(ping.error().code, "peer", out);
+        return;
+      }
+      this->members.With([&](MemberTable& table) {
+        table.OnPing(now, from, ping.value(), out);
+      });
+      this->OnPeerVersions(now, from, ping.value().versions, out);
+    } else if (header.type == MessageType::kAck) {
+      const Result<Ack> ack = Decode<Ack>(bytes, header);
+      if (!ack) {
+        NoteDrop(ack.error().code, "peer", out);
+        return;
+      }
+      this->members.With(
+          [&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
+      this->OnPeerVersions(now, from, ack.value().versions, out);
+    } else {
+      const Result<PingRequest> request = Decode<PingRequest>(bytes, header);
+      if (!request) {
+        NoteDrop(request.error().code, "peer", out);
+        return;
+      }
+      this->members.With([&](MemberTable& table) {
+        table.OnPingRequest(now, from, request.value(), out);
+      });
+    }
+    this->PublishMembers(now);
+  }
+
+  /** Handles a message that brings or asks for a document; the header tells
+   * which. */
+  void OnDocument(TimePoint now,
+                  const Endpoint& from,
+                  std::string_view bytes,
+                  const Header& header,
+                  RandomEngine& random,
+                  Output& out) {
+    const std::vector<Endpoint> peers = this->PeerEndpoints();
+    bool decoded = false;
+    if (header.type == MessageType::kDocumentDelta) {
+      const Result<DocumentDelta> delta = Decode<DocumentDelta>(bytes, header);
+      decoded = delta.has_value();
+      if (decoded)
+        this->WithDocument(delta.value().kind, [&](auto& store) {
+          store.OnDelta(from, delta.value(), peers, random, out);
+        });
+    } else if (header.type == MessageType::kDocumentPull) {
+      const Result<DocumentPull> pull = Decode<DocumentPull>(bytes, header);
+      decoded = pull.has_value();
+      if (decoded)
+        this->WithDocument(pull.value().kind, [&](auto& store) {
+          store.OnPull(from, pull.value(), out);
+        });
+    } else {
+      const Result<DocumentChunk> chunk = Decode<DocumentChunk>(bytes, header);
+      decoded = chunk.has_value();
+      if (decoded)
+        this->WithDocument(chunk.value().kind, [&](auto& store) {
+          store.OnChunk(now, from, chunk.value(), peers, random, out);
+        });
+    }
+    if (!decoded)
+      NoteDrop(ResultCode::kGarbage, "peer", out);
+    this->PublishDocuments(now);
+  }
+
+  /** Begins the graceful shutdown: takes no new non-idempotent work, tells the
+   * peers. */
+  void BeginStop(TimePoint now, Output& out) {
+    this->board.Update(
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.stopping = true; },
+        BoardSource::kOperator, now);
+    this->members.With([&](MemberTable& table) { table.Leave(out); });
+  }
+
+  /** Takes nothing more; tells the peers, where nothing is owed to any caller.
+   */
+  void EndStop(TimePoint now, bool owes_nothing, Output& out) {
+    this->board.Update(
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.serving = false; },
+        BoardSource::kOperator, now);
+    if (owes_nothing)
+      this->members.With([&](MemberTable& table) { table.Left(out); });
+  }
+
+  /** @return Whether a planned change in force asks this balancer to stop. */
+  bool IsStopPlanned(TimePoint now) const {
+    const auto view = this->board.Read();
+    const Vm* const vm = FindVm(*view->vms.value, view->self.value->id.vm);
+    if (vm == nullptr)
+      return false;
+    const PlannedChange* const change =
+        FindChange(*view->config.value, *vm, now);
+    return change != nullptr && change->kind == ChangeKind::kStop;
+  }
+
+  /** @return Whether this member is one of the few that watch the platform for
+   * its data centre. */
+  bool ShouldWatch(DocumentKind kind) const {
+    const auto view = this->board.Read();
+    const auto key = static_cast<uint64_t>(kind);
+    const uint64_t own = RendezvousScore(key, this->settings.id.value);
+    const uint64_t own_centre = MakeSelf(this->settings).data_centre;
+    size_t ahead = 0;
+    for (const MemberInfo& member : view->members.value->members) {
+      const bool counts = member.State() == MemberState::kAlive &&
+                          member.data_centre == own_centre;
+      if (counts && RendezvousScore(key, member.id.vm.value) > own)
+        ++ahead;
+    }
+    return ahead < kWatchersPerDataCentre;
+  }
+
+  /** @return Whether both documents are in force, so that callers can be
+   * served. */
+  bool IsReady() const {
+    const auto view = this->board.Read();
+    return view->config.source != BoardSource::kNone &&
+           view->vms.source != BoardSource::kNone;
+  }
+
+ private:
+  static constexpr size_t kWatchersPerDataCentre = 3;
+  static constexpr Milliseconds kFirstPingInterval{200};
+  static constexpr Milliseconds kWaitAfterPeer{300};
+  static constexpr Milliseconds kWaitForPeers{1000};
+
+  static Holder SelfHolder(const Settings& settings) {
+    return {settings.id, settings.incarnation};
+  }
+
+  static MemberInfo MakeSelf(const Settings& settings) {
+    return MakeMember(SelfHolder(settings), settings.peer,
+                      settings.data_centre);
+  }
+
+  void OnPeerVersions(TimePoint now,
+                      const Endpoint& from,
+                      const DocumentVersions& versions,
+                      Output& out) {
+    this->config.With([&](auto& store) {
+      store.OnPeerStamp(now, from, versions.config, out);
+    });
+    this->vms.With(
+        [&](auto& store) { store.OnPeerStamp(now, from, versions.vms, out); });
+  }
+
+  template <class Use>
+  void WithDocument(uint8_t kind, Use use) {
+    if (kind == static_cast<uint8_t>(DocumentKind::kConfig))
+      this->config.With(use);
+    else if (kind == static_cast<uint8_t>(DocumentKind::kVmList))
+      this->vms.With(use);
+  }
+
+  std::vector<Endpoint> PeerEndpoints() const {
+    std::vector<Endpoint> endpoints;
+    for (const MemberInfo& member :
+         this->board.Read()->members.value->members) {
+      if (member.State() <= MemberState::kLeaving)
+        endpoints.push_back(member.peer);
+    }
+    return endpoints;
+  }
+
+  /** Writes a document to the board where it has changed; under its lock, so
+   * that no older one comes after. */
+  template <class Store, class Value>
+  void PublishDocument(Store& store,
+                       BoardEntry<Value> BoardView::*entry,
+                       TimePoint now) {
+    const std::shared_ptr<const Value> current = store.Current();
+    if (current == nullptr || current == ((*this->board.Read()).*entry).value)
+      return;
+    this->board.Write(entry, current, BoardSource::kDocuments, now);
+    this->documents_changed = true;
+  }
+
+  /** Writes the documents to the board and tells the membership of them. */
+  void PublishDocuments(TimePoint now) {
+    DocumentVersions versions;
+    this->config.With([&](auto& store) {
+      this->PublishDocument(store, &BoardView::config, now);
+      versions.config = store.Stamp();
+    });
+    this->vms.With([&](auto& store) {
+      this->PublishDocument(store, &BoardView::vms, now);
+      versions.vms = store.Stamp();
+    });
+    const auto view = this->board.Read();
+    this->members.With([&](MemberTable& table) {
+      table.Propose(*view->vms.value, now);
+      table.SetVersions(versions, NewestKey(*view->config.value));
+    });
+    this->PublishMembers(now);
+    this->RefreshIssueKey(now);
+  }
+
+  static KeyNumber NewestKey(const Config& config) {
+    return config.keys.empty() ? KeyNumber{} : config.keys.rbegin()->first;
+  }
+
+  /** Writes the members to the board where they have changed. */
+  void PublishMembers(TimePoint now) {
+    const bool changed = this->members.With([&](const MemberTable& table) {
+      if (table.Changes() == this->published_changes)
+        return false;
+      this->published_changes = table.Changes();
+      this->board.Write(&BoardView::members,
+                        std::make_shared<const MemberView>(table.View()),
+                        BoardSource::kMembership, now);
+      const Incarnation clean_left = table.Self().clean_left;
+      this->board.Update(
+          &BoardView::self,
+          [clean_left](const BoardView&, SelfState& self) {
+            self.clean_left = clean_left;
+          },
+          BoardSource::kMembership, now);
+      return true;
+    });
+    if (changed)
+      this->RefreshIssueKey(now);
+  }
+
+  void RefreshIssueKey(TimePoint now) {
+    this->board.Update(
+        &BoardView::self,
+        [](const BoardView& view, SelfState& self) {
+          self.issue_key = IssueKey(*view.config.value, *view.members.value);
+        },
+        BoardSource::kMembership, now);
+  }
+
+  /** The newest key that every member not known to be gone holds; one that
+   * never told is not waited for. */
+  static KeyNumber IssueKey(const Config& config, const MemberView& members) {
+    KeyNumber limit = NewestKey(config);
+    for (const MemberInfo& member : members.members) {
+      if (member.State() <= MemberState::kSuspect && member.newest_key != 0)
+        limit = std::min(limit, KeyNumber{member.newest_key});
+    }
+    const auto above = config.keys.upper_bound(limit);
+    return above == config.keys.begin() ? NewestKey(config)
+                                        : std::prev(above)->first;
+  }
+
+  /** Until it serves, it asks the first peers, and compares documents with
+   * whoever answers. */
+  void TickStart(TimePoint now, Output& out) {
+    const auto view = this->board.Read();
+    if (view->self.value->serving || view->self.value->stopping)
+      return;
+    if (this->next_first_ping <= now) {
+      this->next_first_ping = now + kFirstPingInterval;
+      this->members.With([&](MemberTable& table) {
+        table.PingFirst(this->settings.first_peers, out);
+      });
+    }
+    if (!this->IsReady())
+      return;
+    this->ready_since = std::min(this->ready_since, now);
+    const bool alone = view->members.value->members.empty();
+    const bool heard = this->members.With(
+        [](const MemberTable& table) { return table.HasHeard(); });
+    // A peer with newer documents says so in its heartbeat, and they come
+    // within a few round trips.
+    const Milliseconds wait = alone   ? Milliseconds(0)
+                              : heard ? kWaitAfterPeer
+                                      : kWaitForPeers;
+    if (now < this->ready_since + wait)
+      return;
+    this->board.Update(
+        &BoardView::self,
+        [](const BoardView&, SelfState& self) { self.serving = true; },
+        BoardSource::kOperator, now);
+  }
+
+  const Settings& settings;
+  Board<Mutex> board;
+  Guarded<MemberTable, Mutex> members;
+  Guarded<DocumentStore<ConfigDocument>, Mutex> config;
+  Guarded<DocumentStore<VmListDocument>, Mutex> vms;
+  uint64_t published_changes = 0;  ///< Under the lock of `members`.
+  std::atomic<bool> documents_changed = true;
+  TimePoint
+      next_first_ping;  ///< Only the thread that calls Tick touches these.
+  TimePoint ready_since = kNever;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_CONTROL_BASE_H_
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -4,18 +4,15 @@
 #ifndef CUMINVANE_CORE_NODE_BASE_H_
 #define CUMINVANE_CORE_NODE_BASE_H_
 
-#include <atomic>
 #include <deque>
 #include <memory>
 #include <string_view>
-#include <utility>
 #include <vector>
 
-#include "core/board_base.h"
-#include "core/document_base.h"
-#include "core/member_base.h"
+#include "core/control_base.h"
+#include "core/drop_func.h"
 #include "core/message_func.h"
-#include "core/placement_base.h"
+#include "core/placement_shared_base.h"
 #include "core/reply_func.h"
 #include "core/route_func.h"
 #include "core/shard_base.h"
@@ -24,67 +21,6 @@
 
 namespace cuminvane {
 
-/** Placement under one lock, as the shards use it. */
-template <class Table, Lockable Mutex>
-class SharedPlacement {
- public:
-  void Sync(const VmList& list, const Config& config, TimePoint now) {
-    this->table.With([&](Table& table) { table.Sync(list, config, now); });
-  }
-  Result<Target> ForFlow(ServiceId service,
-                         TimePoint now,
-                         RandomEngine& random) {
-    return this->table.With(
-        [&](Table& table) { return table.ForFlow(service, now, random); });
-  }
-  Result<Target> ForRequest(ServiceId service,
-                            const Holder& preferred,
-                            FlowId flow,
-                            TimePoint now) {
-    return this->table.With([&](Table& table) {
-      return table.ForRequest(service, preferred, flow, now);
-    });
-  }
-  Result<Target> ForFeed(ServiceId service,
-                         const Holder& preferred,
-                         FlowId flow,
-                         uint32_t attempt,
-                         TimePoint now) {
-    return this->table.With([&](Table& table) {
-      return table.ForFeed(service, preferred, flow, attempt, now);
-    });
-  }
-  Result<Target> ForRetry(ServiceId service,
-                          VmId refuser,
-                          TimePoint now,
-                          RandomEngine& random) {
-    return this->table.With([&](Table& table) {
-      return table.ForRetry(service, refuser, now, random);
-    });
-  }
-  Endpoint AddressOf(VmId vm) const {
-    return this->table.With(
-        [&](const Table& table) { return table.AddressOf(vm); });
-  }
-  void OnSent(VmId vm) {
-    this->table.With([&](Table& table) { table.OnSent(vm); });
-  }
-  void OnEnded(TimePoint now, VmId vm, RunEnd end) {
-    this->table.With([&](Table& table) { table.OnEnded(now, vm, end); });
-  }
-  void OnReport(TimePoint now, VmId vm, const LoadReport& report) {
-    this->table.With([&](Table& table) { table.OnReport(now, vm, report); });
-  }
-  /** @return A copy of what is known, for status. */
-  std::map<VmId, BackendState> Backends() const {
-    return this->table.With(
-        [](const Table& table) { return table.Backends(); });
-  }
-
- private:
-  Guarded<Table, Mutex> table;
-};
-
 /** How full a node is, for status. */
 struct NodeLoad {
   size_t flows = 0;
@@ -112,16 +48,12 @@
 
   /** @param settings Must outlive the node; its incarnation must be set. */
   explicit Node(const Settings& settings)
-      : settings(settings), members(MakeSelf(settings), settings.membership) {
+      : settings(settings), control(settings) {
     for (int index = 0; index < settings.shards; ++index) {
       this->shards.emplace_back(static_cast<uint8_t>(index), settings.requests,
                                 this->placement);
       this->witnesses.emplace_back(settings.requests.records_per_shard);
     }
-    this->board.Write(&BoardView::self,
-                      std::make_shared<const SelfState>(SelfState{
-                          SelfHolder(settings), false, false, {}, {}}),
-                      BoardSource::kOperator, TimePoint{});
   }
 
   /**
@@ -139,7 +71,7 @@
                 Output& out) {
     const Result<FabricPacket> packet = DecodeAs<FabricPacket>(bytes);
     if (!packet) {
-      this->Drop(packet.error().code, "fabric", out);
+      NoteDrop(packet.error().code, "fabric", out);
       return;
     }
     const CallerPath path{packet.value().caller, packet.value().service, from};
@@ -154,7 +86,7 @@
                  Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
-      this->Drop(header.error().code, "backend", out);
+      NoteDrop(header.error().code, "backend", out);
       return;
     }
     switch (header.value().type) {
@@ -185,7 +117,7 @@
                               random, out);
         break;
       default:
-        this->Drop(ResultCode::kUnexpectedType, "backend", out);
+        NoteDrop(ResultCode::kUnexpectedType, "backend", out);
         break;
     }
   }
@@ -198,7 +130,7 @@
               Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
-      this->Drop(header.error().code, "peer", out);
+      NoteDrop(header.error().code, "peer", out);
       return;
     }
     switch (header.value().type) {
@@ -214,51 +146,34 @@
       case MessageType::kPing:
       case MessageType::kAck:
       case MessageType::kPingRequest:
-        this->OnMembership(now, from, bytes, header.value(), out);
+        this->control.OnMembership(now, from, bytes, header.value(), out);
         break;
       case MessageType::kDocumentDelta:
       case MessageType::kDocumentPull:
       case MessageType::kDocumentChunk:
-        this->OnDocument(now, from, bytes, header.value(), random, out);
+        this->control.OnDocument(now, from, bytes, header.value(), random, out);
         break;
       default:
-        this->Drop(ResultCode::kUnexpectedType, "peer", out);
+        NoteDrop(ResultCode::kUnexpectedType, "peer", out);
         break;
     }
   }
 
-  /**
-   * Takes a document that was read from the platform.
-   * @return As DocumentStore::Offer.
-   */
+  /** As ControlPlane::OfferDocument. */
   Result<void> OfferDocument(TimePoint now,
                              DocumentKind kind,
                              std::string_view text,
                              RandomEngine& random,
                              Output& out) {
-    const std::vector<Endpoint> peers = this->PeerEndpoints();
-    Result<void> taken = kind == DocumentKind::kConfig
-                             ? this->config.With([&](auto& store) {
-                                 return store.Offer(text, peers, random, out);
-                               })
-                             : this->vms.With([&](auto& store) {
-                                 return store.Offer(text, peers, random, out);
-                               });
-    this->PublishDocuments(now);
-    return taken;
+    return this->control.OfferDocument(now, kind, text, random, out);
   }
 
   /** Does what is due: probes, timers, planned changes. Call every few
-   * milliseconds. */
+   * milliseconds, from one thread. */
   void Tick(TimePoint now, RandomEngine& random, Output& out) {
-    this->members.With(
-        [&](MemberTable& table) { table.Tick(now, random, out); });
-    this->PublishMembers(now);
-    this->config.With([&](auto& store) { store.Tick(now, out); });
-    this->vms.With([&](auto& store) { store.Tick(now, out); });
+    this->control.Tick(now, random, out);
     this->SyncPlacement(now);
-    this->TickStart(now, out);
-    const auto view = this->board.Read();
+    const auto view = this->Beliefs();
     const ShardCall call{now, *view, random, out};
     for (auto& shard : this->shards)
       shard.With([&](NodeShard& part) { part.Tick(call); });
@@ -266,62 +181,25 @@
       witness.With([now](WitnessTable& table) { table.Tick(now); });
   }
 
-  /** Begins the graceful shutdown: takes no new non-idempotent work, tells the
-   * peers. */
+  /** As ControlPlane::BeginStop. */
   void BeginStop(TimePoint now, Output& out) {
-    this->board.Update(
-        &BoardView::self,
-        [](const BoardView&, SelfState& self) { self.stopping = true; },
-        BoardSource::kOperator, now);
-    this->members.With([&](MemberTable& table) { table.Leave(out); });
+    this->control.BeginStop(now, out);
   }
-
-  /** Takes nothing more; tells the peers, where nothing is owed to any caller.
-   */
+  /** Ends the graceful shutdown; peers are told that this balancer owes
+   * nothing, where that is so. */
   void EndStop(TimePoint now, Output& out) {
-    this->board.Update(
-        &BoardView::self,
-        [](const BoardView&, SelfState& self) { self.serving = false; },
-        BoardSource::kOperator, now);
-    if (this->Load().unfinished == 0)
-      this->members.With([&](MemberTable& table) { table.Left(out); });
+    this->control.EndStop(now, this->Load().unfinished == 0, out);
   }
-
-  /** @return Whether a planned change in force asks this balancer to stop. */
+  /** As ControlPlane::IsStopPlanned. */
   bool IsStopPlanned(TimePoint now) const {
-    const auto view = this->board.Read();
-    const Vm* const vm = FindVm(*view->vms.value, view->self.value->id.vm);
-    if (vm == nullptr)
-      return false;
-    const PlannedChange* const change =
-        FindChange(*view->config.value, *vm, now);
-    return change != nullptr && change->kind == ChangeKind::kStop;
+    return this->control.IsStopPlanned(now);
   }
-
-  /** @return Whether this member is one of the few that watch the platform for
-   * its data centre. */
+  /** As ControlPlane::ShouldWatch. */
   bool ShouldWatch(DocumentKind kind) const {
-    const auto view = this->board.Read();
-    const auto key = static_cast<uint64_t>(kind);
-    const uint64_t own = RendezvousScore(key, this->settings.id.value);
-    const uint64_t own_centre = MakeSelf(this->settings).data_centre;
-    size_t ahead = 0;
-    for (const MemberInfo& member : view->members.value->members) {
-      const bool counts = member.State() == MemberState::kAlive &&
-                          member.data_centre == own_centre;
-      if (counts && RendezvousScore(key, member.id.vm.value) > own)
-        ++ahead;
-    }
-    return ahead < kWatchersPerDataCentre;
-  }
-
-  /** @return Whether both documents are in force, so that callers can be
-   * served. */
-  bool IsReady() const {
-    const auto view = this->board.Read();
-    return view->config.source != BoardSource::kNone &&
-           view->vms.source != BoardSource::kNone;
+    return this->control.ShouldWatch(kind);
   }
+  /** As ControlPlane::IsReady. */
+  bool IsReady() const { return this->control.IsReady(); }
 
   /** @return How full the node is. */
   NodeLoad Load() const {
@@ -338,7 +216,7 @@
 
   /** @return Every belief of this balancer. */
   std::shared_ptr<const BoardView> Beliefs() const {
-    return this->board.Read();
+    return this->control.Beliefs();
   }
   /** @return What is known of the backend servers. */
   std::map<VmId, BackendState> Backends() const {
@@ -346,24 +224,11 @@
   }
 
  private:
-  static constexpr size_t kWatchersPerDataCentre = 3;
   static constexpr Milliseconds kPlacementSync{100};
   /** Clocks of two VMs may differ by less than this. */
   static constexpr Seconds kClosureMargin{2};
   /** Callers renew far more often; a feed nobody renews ends with it. */
   static constexpr Seconds kFeedLease{30};
-  static constexpr Milliseconds kFirstPingInterval{200};
-  static constexpr Milliseconds kWaitAfterPeer{300};
-  static constexpr Milliseconds kWaitForPeers{1000};
-
-  static Holder SelfHolder(const Settings& settings) {
-    return {settings.id, settings.incarnation};
-  }
-
-  static MemberInfo MakeSelf(const Settings& settings) {
-    return MakeMember(SelfHolder(settings), settings.peer,
-                      settings.data_centre);
-  }
 
   template <class Message>
   static Result<Message> DecodeAs(std::string_view bytes) {
@@ -387,16 +252,6 @@
     return {this->settings.requests.witnessed, VmId{}};
   }
 
-  void Drop(ResultCode code, const char* lane, Output& out) {
-    Decision decision;
-    decision.topic = Topic::kInput;
-    decision.severity = Severity::kWarning;
-    decision.event = "drop";
-    decision.reason = lane;
-    decision.code = code;
-    out.decisions.push_back(decision);
-  }
-
   void LogRoute(const char* event,
                 FlowId flow,
                 RequestNumber number,
@@ -422,12 +277,12 @@
                       Output& out) {
     const Result<Header> header = DecodeHeader(bytes);
     if (!header) {
-      this->Drop(header.error().code, "caller", out);
+      NoteDrop(header.error().code, "caller", out);
       return;
     }
-    const auto view = this->board.Read();
+    const auto view = this->Beliefs();
     if (!view->self.value->serving) {
-      this->Drop(ResultCode::kNotServing, "caller", out);
+      NoteDrop(ResultCode::kNotServing, "caller", out);
       return;
     }
     const ShardCall call{now, *view, random, out};
@@ -467,7 +322,7 @@
                                });
         break;
       default:
-        this->Drop(ResultCode::kUnexpectedType, "caller", out);
+        NoteDrop(ResultCode::kUnexpectedType, "caller", out);
         break;
     }
   }
@@ -483,13 +338,13 @@
   void OnOpen(const ShardCall& call, const Arrival& arrival) {
     const Result<Open> open = Decode<Open>(arrival.bytes, arrival.header);
     if (!open) {
-      this->Drop(open.error().code, "open", call.out);
+      NoteDrop(open.error().code, "open", call.out);
       return;
     }
     const Service* const service =
         FindService(*call.board.config.value, arrival.path.service);
     if (service == nullptr) {
-      this->Drop(ResultCode::kUnknownService, "open", call.out);
+      NoteDrop(ResultCode::kUnknownService, "open", call.out);
       return;
     }
     const Result<Target> target =
@@ -525,7 +380,7 @@
       Result<std::string> sealing =
           SealToken(token, call.board.config.value->keys);
       if (!sealing) {
-        this->Drop(sealing.error().code, "open", call.out);
+        NoteDrop(sealing.error().code, "open", call.out);
         return;
       }
       sealed = std::move(sealing).value();
@@ -539,7 +394,7 @@
     const std::string reply = Encode(opened);
     // The sender is not verified, so it never gets back more than it sent.
     if (reply.size() > arrival.bytes.size()) {
-      this->Drop(ResultCode::kReplyTooLarge, "open", call.out);
+      NoteDrop(ResultCode::kReplyTooLarge, "open", call.out);
       return;
     }
     SendToCaller(arrival.path, reply, call.out);
@@ -548,7 +403,7 @@
   void OnReopen(const ShardCall& call, const Arrival& arrival) {
     const Result<Reopen> reopen = Decode<Reopen>(arrival.bytes, arrival.header);
     if (!reopen) {
-      this->Drop(reopen.error().code, "reopen", call.out);
+      NoteDrop(reopen.error().code, "reopen", call.out);
       return;
     }
     const Result<FlowToken> known =
@@ -581,7 +436,7 @@
     const Result<Request> request =
         Decode<Request>(arrival.bytes, arrival.header);
     if (!request) {
-      this->Drop(request.error().code, "request", call.out);
+      NoteDrop(request.error().code, "request", call.out);
       return;
     }
     const Request& message = request.value();
@@ -661,7 +516,7 @@
   void OnFollow(const ShardCall& call, const Arrival& arrival) {
     const Result<Follow> follow = Decode<Follow>(arrival.bytes, arrival.header);
     if (!follow) {
-      this->Drop(follow.error().code, "follow", call.out);
+      NoteDrop(follow.error().code, "follow", call.out);
       return;
     }
     const Follow& message = follow.value();
@@ -675,7 +530,7 @@
         this->placement.ForFeed(token.value().service, preferred, message.flow,
                                 message.attempt, call.now);
     if (!target) {
-      this->Drop(target.error().code, "follow", call.out);
+      NoteDrop(target.error().code, "follow", call.out);
       return;
     }
     const Route route{RouteKind::kLocal,
@@ -698,7 +553,7 @@
     const Result<Unfollow> unfollow =
         Decode<Unfollow>(arrival.bytes, arrival.header);
     if (!unfollow) {
-      this->Drop(unfollow.error().code, "follow", call.out);
+      NoteDrop(unfollow.error().code, "follow", call.out);
       return;
     }
     const Unfollow& message = unfollow.value();
@@ -718,7 +573,7 @@
                         Output& out) {
     const Result<PublishedEvent> event = Decode<PublishedEvent>(bytes, header);
     if (!event) {
-      this->Drop(event.error().code, "backend", out);
+      NoteDrop(event.error().code, "backend", out);
       return;
     }
     const PublishedEvent& message = event.value();
@@ -730,7 +585,7 @@
   void OnSubscribed(std::string_view bytes, const Header& header, Output& out) {
     const Result<Subscribed> subscribed = Decode<Subscribed>(bytes, header);
     if (!subscribed) {
-      this->Drop(subscribed.error().code, "backend", out);
+      NoteDrop(subscribed.error().code, "backend", out);
       return;
     }
     const Subscribed& message = subscribed.value();
@@ -744,7 +599,7 @@
     const Result<Message> message =
         Decode<Message>(arrival.bytes, arrival.header);
     if (!message) {
-      this->Drop(message.error().code, "caller", call.out);
+      NoteDrop(message.error().code, "caller", call.out);
       return;
     }
     const Message& body = message.value();
@@ -775,7 +630,7 @@
     if (checked)
       return checked;
     const ResultCode code = checked.error().code;
-    this->Drop(code, "token", call.out);
+    NoteDrop(code, "token", call.out);
     const std::string reply =
         Encode(Verdict{flow, number, static_cast<uint16_t>(code), {}, {}});
     if (reply.size() <= arrival.bytes.size())
@@ -805,7 +660,7 @@
                Output& out) {
     const Result<Relay> relay = Decode<Relay>(bytes, header);
     if (!relay) {
-      this->Drop(relay.error().code, "peer", out);
+      NoteDrop(relay.error().code, "peer", out);
       return;
     }
     const CallerPath path{relay.value().caller, relay.value().service,
@@ -823,7 +678,7 @@
                 Output& out) {
     const Result<Intent> intent = Decode<Intent>(bytes, header);
     if (!intent) {
-      this->Drop(intent.error().code, "peer", out);
+      NoteDrop(intent.error().code, "peer", out);
       return;
     }
     const Intent& message = intent.value();
@@ -846,10 +701,10 @@
                      Output& out) {
     const Result<IntentReply> reply = Decode<IntentReply>(bytes, header);
     if (!reply) {
-      this->Drop(reply.error().code, "peer", out);
+      NoteDrop(reply.error().code, "peer", out);
       return;
     }
-    const auto view = this->board.Read();
+    const auto view = this->Beliefs();
     const ShardCall call{now, *view, random, out};
     this->ShardOf(reply.value().flow).With([&](NodeShard& shard) {
       shard.OnIntentReply(call, reply.value());
@@ -865,259 +720,39 @@
               Output& out) {
     const Result<Message> message = Decode<Message>(bytes, header);
     if (!message) {
-      this->Drop(message.error().code, "backend", out);
+      NoteDrop(message.error().code, "backend", out);
       return;
     }
     const uint8_t index = NodeShard::IndexOf(message.value().run);
     if (index >= this->shards.size()) {
-      this->Drop(ResultCode::kUnknownRun, "backend", out);
+      NoteDrop(ResultCode::kUnknownRun, "backend", out);
       return;
     }
-    const auto view = this->board.Read();
+    const auto view = this->Beliefs();
     const ShardCall call{now, *view, random, out};
     this->shards[index].With(
         [&](NodeShard& shard) { (shard.*handle)(call, message.value()); });
   }
 
-  void OnMembership(TimePoint now,
-                    const Endpoint& from,
-                    std::string_view bytes,
-                    const Header& header,
-                    Output& out) {
-    if (header.type == MessageType::kPing) {
-      const Result<Ping> ping = Decode<Ping>(bytes, header);
-      if (!ping) {
-        this->Drop(ping.error().code, "peer", out);
-        return;
-      }
-      this->members.With([&](MemberTable& table) {
-        table.OnPing(now, from, ping.value(), out);
-      });
-      this->OnPeerVersions(now, from, ping.value().versions, out);
-    } else if (header.type == MessageType::kAck) {
-      const Result<Ack> ack = Decode<Ack>(bytes, header);
-      if (!ack) {
-        this->Drop(ack.error().code, "peer", out);
-        return;
-      }
-      this->members.With(
-          [&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
-      this->OnPeerVersions(now, from, ack.value().versions, out);
-    } else {
-      const Result<PingRequest> request = Decode<PingRequest>(bytes, header);
-      if (!request) {
-        this->Drop(request.error().code, "peer", out);
-        return;
-      }
-      this->members.With([&](MemberTable& table) {
-        table.OnPingRequest(now, from, request.value(), out);
-      });
-    }
-    this->PublishMembers(now);
-  }
-
-  void OnPeerVersions(TimePoint now,
-                      const Endpoint& from,
-                      const DocumentVersions& versions,
-                      Output& out) {
-    this->config.With([&](auto& store) {
-      store.OnPeerStamp(now, from, versions.config, out);
-    });
-    this->vms.With(
-        [&](auto& store) { store.OnPeerStamp(now, from, versions.vms, out); });
-  }
-
-  void OnDocument(TimePoint now,
-                  const Endpoint& from,
-                  std::string_view bytes,
-                  const Header& header,
-                  RandomEngine& random,
-                  Output& out) {
-    const std::vector<Endpoint> peers = this->PeerEndpoints();
-    bool decoded = false;
-    if (header.type == MessageType::kDocumentDelta) {
-      const Result<DocumentDelta> delta = Decode<DocumentDelta>(bytes, header);
-      decoded = delta.has_value();
-      if (decoded)
-        this->WithDocument(delta.value().kind, [&](auto& store) {
-          store.OnDelta(from, delta.value(), peers, random, out);
-        });
-    } else if (header.type == MessageType::kDocumentPull) {
-      const Result<DocumentPull> pull = Decode<DocumentPull>(bytes, header);
-      decoded = pull.has_value();
-      if (decoded)
-        this->WithDocument(pull.value().kind, [&](auto& store) {
-          store.OnPull(from, pull.value(), out);
-        });
-    } else {
-      const Result<DocumentChunk> chunk = Decode<DocumentChunk>(bytes, header);
-      decoded = chunk.has_value();
-      if (decoded)
-        this->WithDocument(chunk.value().kind, [&](auto& store) {
-          store.OnChunk(now, from, chunk.value(), peers, random, out);
-        });
-    }
-    if (!decoded)
-      this->Drop(ResultCode::kGarbage, "peer", out);
-    this->PublishDocuments(now);
-  }
-
-  template <class Use>
-  void WithDocument(uint8_t kind, Use use) {
-    if (kind == static_cast<uint8_t>(DocumentKind::kConfig))
-      this->config.With(use);
-    else if (kind == static_cast<uint8_t>(DocumentKind::kVmList))
-      this->vms.With(use);
-  }
-
-  std::vector<Endpoint> PeerEndpoints() const {
-    std::vector<Endpoint> endpoints;
-    for (const MemberInfo& member :
-         this->board.Read()->members.value->members) {
-      if (member.State() <= MemberState::kLeaving)
-        endpoints.push_back(member.peer);
-    }
-    return endpoints;
-  }
-
-  /** Writes a document to the board where it has changed; under its lock, so
-   * that no older one comes after. */
-  template <class Store, class Value>
-  void PublishDocument(Store& store,
-                       BoardEntry<Value> BoardView::*entry,
-                       TimePoint now) {
-    const std::shared_ptr<const Value> current = store.Current();
-    if (current == nullptr || current == ((*this->board.Read()).*entry).value)
-      return;
-    this->board.Write(entry, current, BoardSource::kDocuments, now);
-    this->placement_due = true;
-  }
-
-  /** Writes the documents to the board and tells the membership of them. */
-  void PublishDocuments(TimePoint now) {
-    DocumentVersions versions;
-    this->config.With([&](auto& store) {
-      this->PublishDocument(store, &BoardView::config, now);
-      versions.config = store.Stamp();
-    });
-    this->vms.With([&](auto& store) {
-      this->PublishDocument(store, &BoardView::vms, now);
-      versions.vms = store.Stamp();
-    });
-    const auto view = this->board.Read();
-    this->members.With([&](MemberTable& table) {
-      table.Propose(*view->vms.value, now);
-      table.SetVersions(versions, NewestKey(*view->config.value));
-    });
-    this->PublishMembers(now);
-    this->RefreshIssueKey(now);
-  }
-
-  static KeyNumber NewestKey(const Config& config) {
-    return config.keys.empty() ? KeyNumber{} : config.keys.rbegin()->first;
-  }
-
-  /** Writes the members to the board where they have changed. */
-  void PublishMembers(TimePoint now) {
-    const bool changed = this->members.With([&](const MemberTable& table) {
-      if (table.Changes() == this->published_changes)
-        return false;
-      this->published_changes = table.Changes();
-      this->board.Write(&BoardView::members,
-                        std::make_shared<const MemberView>(table.View()),
-                        BoardSource::kMembership, now);
-      const Incarnation clean_left = table.Self().clean_left;
-      this->board.Update(
-          &BoardView::self,
-          [clean_left](const BoardView&, SelfState& self) {
-            self.clean_left = clean_left;
-          },
-          BoardSource::kMembership, now);
-      return true;
-    });
-    if (changed)
-      this->RefreshIssueKey(now);
-  }
-
-  void RefreshIssueKey(TimePoint now) {
-    this->board.Update(
-        &BoardView::self,
-        [](const BoardView& view, SelfState& self) {
-          self.issue_key = IssueKey(*view.config.value, *view.members.value);
-        },
-        BoardSource::kMembership, now);
-  }
-
-  /** The newest key that every member not known to be gone holds; one that
-   * never told is not waited for. */
-  static KeyNumber IssueKey(const Config& config, const MemberView& members) {
-    KeyNumber limit = NewestKey(config);
-    for (const MemberInfo& member : members.members) {
-      if (member.State() <= MemberState::kSuspect && member.newest_key != 0)
-        limit = std::min(limit, KeyNumber{member.newest_key});
-    }
-    const auto above = config.keys.upper_bound(limit);
-    return above == config.keys.begin() ? NewestKey(config)
-                                        : std::prev(above)->first;
-  }
-
-  /** Until it serves, it asks the first peers, and compares documents with
-   * whoever answers. */
-  void TickStart(TimePoint now, Output& out) {
-    const auto view = this->board.Read();
-    if (view->self.value->serving || view->self.value->stopping)
-      return;
-    if (this->next_first_ping <= now) {
-      this->next_first_ping = now + kFirstPingInterval;
-      this->members.With([&](MemberTable& table) {
-        table.PingFirst(this->settings.first_peers, out);
-      });
-    }
-    if (!this->IsReady())
-      return;
-    this->ready_since = std::min(this->ready_since, now);
-    const bool alone = view->members.value->members.empty();
-    const bool heard = this->members.With(
-        [](const MemberTable& table) { return table.HasHeard(); });
-    // A peer with newer documents says so in its heartbeat, and they come
-    // within a few round trips.
-    const Milliseconds wait = alone   ? Milliseconds(0)
-                              : heard ? kWaitAfterPeer
-                                      : kWaitForPeers;
-    if (now < this->ready_since + wait)
-      return;
-    this->board.Update(
-        &BoardView::self,
-        [](const BoardView&, SelfState& self) { self.serving = true; },
-        BoardSource::kOperator, now);
-  }
-
   /** Planned changes begin by the clock, so placement is synchronized now and
    * then, and at once after news. */
   void SyncPlacement(TimePoint now) {
-    const bool due = this->placement_due.exchange(false);
+    const bool due = this->control.TakeDocumentsChanged();
     if (!due && now < this->next_placement_sync)
       return;
     this->next_placement_sync = now + kPlacementSync;
-    const auto view = this->board.Read();
+    const auto view = this->Beliefs();
     this->placement.Sync(*view->vms.value, *view->config.value, now);
   }
 
   const Settings& settings;
-  Board<Mutex> board;
+  ControlPlane<Mutex> control;
   Placement placement;
   std::deque<Guarded<NodeShard, Mutex>> shards;
   std::deque<Guarded<WitnessTable, Mutex>>
       witnesses;  ///< By flow, as the shards.
-  Guarded<MemberTable, Mutex> members;
-  Guarded<DocumentStore<ConfigDocument>, Mutex> config;
-  Guarded<DocumentStore<VmListDocument>, Mutex> vms;
-  uint64_t published_changes = 0;  ///< Under the lock of `members`.
-  std::atomic<bool> placement_due = true;
   TimePoint
-      next_placement_sync;  ///< Only the thread that calls Tick touches these.
-  TimePoint next_first_ping;
-  TimePoint ready_since = kNever;
+      next_placement_sync;  ///< Only the thread that calls Tick touches it.
 };
 
 }  // namespace cuminvane
--- /dev/null
+++ b/src/core/placement_shared_base.h
@@ -0,0 +1,77 @@
+/** @file placement_shared_base.h Placement under one lock, for all shards of a
+ * balancer. */
+
+#ifndef CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
+#define CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
+
+#include <map>
+
+#include "core/guarded_type.h"
+#include "core/placement_base.h"
+
+namespace cuminvane {
+
+/** Placement under one lock, as the shards use it. */
+template <class Table, Lockable Mutex>
+class SharedPlacement {
+ public:
+  void Sync(const VmList& list, const Config& config, TimePoint now) {
+    this->table.With([&](Table& table) { table.Sync(list, config, now); });
+  }
+  Result<Target> ForFlow(ServiceId service,
+                         TimePoint now,
+                         RandomEngine& random) {
+    return this->table.With(
+        [&](Table& table) { return table.ForFlow(service, now, random); });
+  }
+  Result<Target> ForRequest(ServiceId service,
+                            const Holder& preferred,
+                            FlowId flow,
+                            TimePoint now) {
+    return this->table.With([&](Table& table) {
+      return table.ForRequest(service, preferred, flow, now);
+    });
+  }
+  Result<Target> ForFeed(ServiceId service,
+                         const Holder& preferred,
+                         FlowId flow,
+                         uint32_t attempt,
+                         TimePoint now) {
+    return this->table.With([&](Table& table) {
+      return table.ForFeed(service, preferred, flow, attempt, now);
+    });
+  }
+  Result<Target> ForRetry(ServiceId service,
+                          VmId refuser,
+                          TimePoint now,
+                          RandomEngine& random) {
+    return this->table.With([&](Table& table) {
+      return table.ForRetry(service, refuser, now, random);
+    });
+  }
+  Endpoint AddressOf(VmId vm) const {
+    return this->table.With(
+        [&](const Table& table) { return table.AddressOf(vm); });
+  }
+  void OnSent(VmId vm) {
+    this->table.With([&](Table& table) { table.OnSent(vm); });
+  }
+  void OnEnded(TimePoint now, VmId vm, RunEnd end) {
+    this->table.With([&](Table& table) { table.OnEnded(now, vm, end); });
+  }
+  void OnReport(TimePoint now, VmId vm, const LoadReport& report) {
+    this->table.With([&](Table& table) { table.OnReport(now, vm, report); });
+  }
+  /** @return A copy of what is known, for status. */
+  std::map<VmId, BackendState> Backends() const {
+    return this->table.With(
+        [](const Table& table) { return table.Backends(); });
+  }
+
+ private:
+  Guarded<Table, Mutex> table;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
