A restarted witness does not speak for the one before it

Shrunk: an owner is paused, its witness closes it and the request runs elsewhere, the witness restarts, the owner wakes and asks the new start, which knows of no closure and grants the intent. Change: the reply carries the incarnation, and another one than the token's is no grant. Heartbeats every 250 ms in place of 200 pay for the bytes. A test plays the case.

--- a/src/core/caller_base.h
+++ b/src/core/caller_base.h
@@ -196,7 +196,7 @@
                     std::string payload,
                     CallerOutput& out);
   void TickFeeds(TimePoint now, Flow& flow, CallerOutput& out);
-  Feed* FindFeed(FlowId flow, RequestNumber number);
+  Feed* FindFeed(FlowId id, RequestNumber number);
   void OnReceipt(TimePoint now, const Receipt& receipt);
   void OnMoved(TimePoint now,
                Flow& flow,
--- a/src/core/message_type.h
+++ b/src/core/message_type.h
@@ -524,16 +524,20 @@
   MSGPACK_DEFINE_ARRAY(flow.value, number.value, owner, left_ms)
 };
 
-/** A witness answers an intent; a number has one witness only, so it need not
- * name itself. */
+/**
+ * A witness answers an intent. A number has one witness only, so its VM need
+ * not be named; but a later start of it does not know what the one before it
+ * closed, and must not speak for it.
+ */
 struct IntentReply {
   static constexpr MessageType kType = MessageType::kIntentReply;
   FlowId flow;
   RequestNumber number;
-  bool granted = false;  ///< False: the owner is closed for the flow.
+  bool granted = false;     ///< False: the owner is closed for the flow.
+  Incarnation incarnation;  ///< Of the witness that speaks.
 
   bool operator==(const IntentReply&) const = default;
-  MSGPACK_DEFINE_ARRAY(flow.value, number.value, granted)
+  MSGPACK_DEFINE_ARRAY(flow.value, number.value, granted, incarnation.value)
 };
 
 /** A caller's packet handed from one balancer to another. */
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -690,7 +690,8 @@
           return witness.Announce(message.flow, message.owner, message.number,
                                   forget_at);
         });
-    const IntentReply reply{message.flow, message.number, granted};
+    const IntentReply reply{message.flow, message.number, granted,
+                            this->settings.incarnation};
     out.datagrams.push_back({Lane::kPeer, from, Encode(reply)});
   }
 
--- a/src/core/settings_type.h
+++ b/src/core/settings_type.h
@@ -28,7 +28,7 @@
 
 /** Timing of the heartbeats between balancers. */
 struct MembershipTiming {
-  Milliseconds probe{200};         ///< Time between two probes.
+  Milliseconds probe{250};         ///< Time between two probes.
   Milliseconds probe_timeout{60};  ///< Wait for a direct answer.
   Milliseconds suspicion{800};     ///< Time a suspect has to refute.
 
--- a/src/core/shard_base.h
+++ b/src/core/shard_base.h
@@ -233,7 +233,10 @@
     RequestRecord* const record = this->Find(reply.flow, reply.number);
     if (record == nullptr || record->state != RequestState::kAnnounced)
       return;
-    if (!reply.granted) {
+    // A later start has forgotten whether this owner was closed.
+    const bool speaks_for_witness =
+        reply.incarnation == record->token.witness.incarnation;
+    if (!speaks_for_witness || !reply.granted) {
       this->MoveRecord(call, reply.flow, *record, "closed_by_witness");
       return;
     }
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -88,7 +88,7 @@
     KeyRow{"membership", "peers", ValueKind::kEndpointList, "", 0, 0, "",
            "Other balancers asked at the start, besides those in the "
            "platform's list."},
-    KeyRow{"membership", "probe_ms", ValueKind::kInteger, "200", 10, 60000, "",
+    KeyRow{"membership", "probe_ms", ValueKind::kInteger, "250", 10, 60000, "",
            "Time between two probes, in milliseconds."},
     KeyRow{"membership", "probe_timeout_ms", ValueKind::kInteger, "60", 5,
            60000, "",
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -117,6 +117,27 @@
   LONGS_EQUAL(1, fleet.Starts(order.tag));
 }
 
+TEST(Fleet, AWitnessThatRestartsDoesNotSpeakForTheOneBeforeIt) {
+  FleetOptions options;
+  options.balancers = 4;
+  FakeFleet fleet(options);
+  const FlowHandle flow = fleet.OpenFlow();
+  const int owner = fleet.OwnerOf(flow);
+  const int witness = fleet.WitnessOf(flow);
+  fleet.Pause(owner);
+  // The witness closes the sleeping owner, and the request runs elsewhere.
+  const WorkOrder order = fleet.Order();
+  CHECK_CODE(ResultCode::kOk,
+             fleet.AskAndWait(flow, "edits", order, Milliseconds(9000)).code);
+  fleet.Kill(witness);
+  fleet.Restart(witness);
+  // The owner wakes with copies of the request, and asks a witness that has
+  // forgotten.
+  fleet.Resume(owner);
+  fleet.RunFor(Seconds(3));
+  LONGS_EQUAL(1, fleet.Starts(order.tag));
+}
+
 TEST(Fleet, AWitnessThatDiesIsReplacedAndNothingIsDoubled) {
   FakeFleet fleet({});
   const FlowHandle flow = fleet.OpenFlow();
