A starter does not serve with an old document; a lost run may go to the only backend server again

A starter served 300 ms after it had heard a peer, while the newer document that the peer had told of was still on its way: for its callers the configuration went back. And a run lost on its way to a service's only backend server, then withdrawn, was answered as overloaded, three times in a row on a path that loses 8 %. Change: a starter serves once it has what peers told of, after 10 s at the latest; after a withdrawal the same backend server may be tried again where there is no other, since it did not refuse.

--- a/src/core/control_base.h
+++ b/src/core/control_base.h
@@ -218,6 +218,9 @@
   static constexpr Milliseconds kFirstPingInterval{200};
   static constexpr Milliseconds kWaitAfterPeer{300};
   static constexpr Milliseconds kWaitForPeers{1000};
+  /** After this a peer that told of a newer document is taken to be out of
+   * reach. */
+  static constexpr Milliseconds kWaitForDocuments{10000};
 
   static Holder SelfHolder(const Settings& settings) {
     return {settings.id, settings.incarnation};
@@ -338,6 +341,22 @@
                                         : std::prev(above)->first;
   }
 
+  /** How long after its own documents a starter waits for what peers may have.
+   */
+  Milliseconds WaitBeforeServing(const BoardView& view) const {
+    if (view.members.value->members.empty())
+      return Milliseconds(0);
+    const bool heard = this->members.With(
+        [](const MemberTable& table) { return table.HasHeard(); });
+    if (!heard)
+      return kWaitForPeers;
+    const bool behind =
+        this->config.With([](const auto& store) { return store.IsBehind(); }) ||
+        this->vms.With([](const auto& store) { return store.IsBehind(); });
+    // Serving with an older document would take back what is in force.
+    return behind ? kWaitForDocuments : kWaitAfterPeer;
+  }
+
   /** Until it serves, it asks the first peers, and compares documents with
    * whoever answers. */
   void TickStart(TimePoint now, Output& out) {
@@ -353,15 +372,7 @@
     if (!this->IsReady())
       return;
     this->ready_since = std::min(this->ready_since, now);
-    const bool alone = view->members.value->members.empty();
-    const bool heard = this->members.With(
-        [](const MemberTable& table) { return table.HasHeard(); });
-    // A peer with newer documents says so in its heartbeat, and they come
-    // within a few round trips.
-    const Milliseconds wait = alone   ? Milliseconds(0)
-                              : heard ? kWaitAfterPeer
-                                      : kWaitForPeers;
-    if (now < this->ready_since + wait)
+    if (now < this->ready_since + this->WaitBeforeServing(*view))
       return;
     this->board.Update(
         &BoardView::self,
--- a/src/core/document_base.h
+++ b/src/core/document_base.h
@@ -73,6 +73,9 @@
 
   /** @return The value in force, null before the first. */
   std::shared_ptr<const Value> Current() const { return this->current; }
+  /** @return Whether a peer has told of a newer document than the one in force.
+   */
+  bool IsBehind() const { return this->stamp < this->newest_heard; }
   /** @return The stamp of the document in force. */
   const DocumentStamp& Stamp() const { return this->stamp; }
 
@@ -99,6 +102,7 @@
                    const Endpoint& peer,
                    const DocumentStamp& theirs,
                    Output& out) {
+    this->newest_heard = std::max(this->newest_heard, theirs);
     if (theirs <= this->stamp || now < this->next_pull_at)
       return;
     this->next_pull_at = now + kPullInterval;
@@ -333,6 +337,7 @@
 
   std::shared_ptr<const Value> current;
   DocumentStamp stamp;
+  DocumentStamp newest_heard;  ///< From any peer.
   SectionTexts sections;
   std::string text;
   std::deque<DocumentDelta> deltas;
--- a/src/core/placement_base.h
+++ b/src/core/placement_base.h
@@ -96,14 +96,21 @@
     return this->ByRendezvous(service, preferred.vm, flow, now);
   }
 
-  /** @return Another backend server than `refuser` for a request that was not
-   * run, or kNoBackend. */
+  /**
+   * @param last The backend server tried last.
+   * @param may_return Whether that one may be tried again where there is no
+   * other: it did not refuse, it never heard.
+   * @return A backend server for a request that was not run, or kNoBackend.
+   */
   Result<Target> ForRetry(ServiceId service,
-                          VmId refuser,
+                          VmId last,
+                          bool may_return,
                           TimePoint now,
                           RandomEngine& random) {
-    const std::vector<BackendState*> candidates =
-        this->Candidates(service, refuser, now);
+    std::vector<BackendState*> candidates =
+        this->Candidates(service, last, now);
+    if (candidates.empty() && may_return)
+      candidates = this->Candidates(service, VmId{}, now);
     if (candidates.empty())
       return Error{ResultCode::kNoBackend,
                    "no other backend server takes requests"};
--- a/src/core/placement_shared_base.h
+++ b/src/core/placement_shared_base.h
@@ -42,11 +42,12 @@
     });
   }
   Result<Target> ForRetry(ServiceId service,
-                          VmId refuser,
+                          VmId last,
+                          bool may_return,
                           TimePoint now,
                           RandomEngine& random) {
     return this->table.With([&](Table& table) {
-      return table.ForRetry(service, refuser, now, random);
+      return table.ForRetry(service, last, may_return, now, random);
     });
   }
   Endpoint AddressOf(VmId vm) const {
--- a/src/core/shard_base.h
+++ b/src/core/shard_base.h
@@ -41,7 +41,7 @@
     placement.ForRequest(service, preferred, flow, now)
     } -> std::same_as<Result<Target>>;
   {
-    placement.ForRetry(service, vm, now, random)
+    placement.ForRetry(service, vm, true, now, random)
     } -> std::same_as<Result<Target>>;
   { placement.AddressOf(vm) } -> std::same_as<Endpoint>;
   placement.OnSent(vm);
@@ -204,7 +204,7 @@
     const auto code = static_cast<ResultCode>(refused.code);
     this->Log(call, "refused", "backend", located.flow, record.number,
               record.backend, code);
-    this->RetryOrEnd(call, located.flow, record, NotRunCodeFor(code));
+    this->RetryOrEnd(call, located.flow, record, NotRunCodeFor(code), false);
   }
 
   /** Handles the answer to a withdrawal. */
@@ -225,7 +225,7 @@
     this->placement.OnEnded(call.now, record.backend, RunEnd::kRefused);
     this->Log(call, "withdrawn", "not_started", located.flow, record.number,
               record.backend, ResultCode::kOk);
-    this->RetryOrEnd(call, located.flow, record, ResultCode::kOverloaded);
+    this->RetryOrEnd(call, located.flow, record, ResultCode::kOverloaded, true);
   }
 
   /** Handles the witness's answer to an intent. */
@@ -262,7 +262,8 @@
     this->Log(call, "run_lost", "backend", located.flow, record.number,
               record.backend, ResultCode::kOutcomeUnknown);
     if (record.idempotent)
-      this->RetryOrEnd(call, located.flow, record, ResultCode::kUnavailable);
+      this->RetryOrEnd(call, located.flow, record, ResultCode::kUnavailable,
+                       true);
     else
       this->End(call, located.flow, record, RequestState::kUnknown,
                 ResultCode::kOutcomeUnknown);
@@ -635,7 +636,8 @@
   void RetryOrEnd(const ShardCall& call,
                   FlowId flow,
                   RequestRecord& record,
-                  ResultCode code) {
+                  ResultCode code,
+                  bool may_return) {
     if (record.cancelled) {
       this->EndNotRun(call, flow, record, ResultCode::kCancelled);
       return;
@@ -647,8 +649,9 @@
       this->EndNotRun(call, flow, record, code);
       return;
     }
-    const Result<Target> target = this->placement.ForRetry(
-        record.token.service, record.backend, call.now, call.random);
+    const Result<Target> target =
+        this->placement.ForRetry(record.token.service, record.backend,
+                                 may_return, call.now, call.random);
     if (!target) {
       this->EndNotRun(call, flow, record, code);
       return;
@@ -758,7 +761,7 @@
     }
     this->placement.OnEnded(call.now, record.backend, RunEnd::kSilent);
     SendCancelRun(record, this->placement.AddressOf(record.backend), call.out);
-    this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable);
+    this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable, true);
   }
 
   void PollBackend(const ShardCall& call,
@@ -770,7 +773,7 @@
         record.silent_polls > kMostSilentPolls && record.idempotent;
     if (lost) {
       this->placement.OnEnded(call.now, record.backend, RunEnd::kSilent);
-      this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable);
+      this->RetryOrEnd(call, flow, record, ResultCode::kUnavailable, true);
       return;
     }
     SendNeedRunParts(record, backend, call.out);
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -335,6 +335,20 @@
   LONGS_EQUAL(1, fleet.Starts(order.tag));
 }
 
+TEST(Fleet, ARunThatIsLostGoesToTheOnlyBackendServerAgain) {
+  FleetOptions options;
+  options.backends = 1;
+  FakeFleet fleet(options);
+  const FlowHandle flow = fleet.OpenFlow();
+  int runs = 0;
+  fleet.lose = [&](const Endpoint&, const Endpoint&, const std::string& bytes) {
+    return IsMessage(bytes, MessageType::kRun) && ++runs == 1;
+  };
+  const WorkOrder order = fleet.Order();
+  CHECK_CODE(ResultCode::kOk, fleet.AskAndWait(flow, "edits", order).code);
+  LONGS_EQUAL(1, fleet.Starts(order.tag));
+}
+
 TEST(Fleet, AnAcceptanceThatIsLostDoesNotRunTheRequestAgain) {
   FakeFleet fleet({});
   const FlowHandle flow = fleet.OpenFlow();
@@ -474,18 +488,26 @@
   CHECK(all_have(7));
 }
 
-TEST(Fleet, AStarterBesideAStalePlatformTakesTheNewerDocumentFromItsPeers) {
-  FakeFleet fleet({});
-  fleet.Kill(3);
-  for (int balancer = 1; balancer <= 2; ++balancer)
-    static_cast<void>(fleet.OfferConfig(balancer, fleet.ConfigText(9)));
-  fleet.RunFor(Seconds(2));
-  // Its platform still shows version 1.
-  fleet.Restart(3);
-  CHECK(fleet.RunUntil(
-      [&] { return fleet.NodeOf(3).Beliefs()->self.value->serving; },
-      Seconds(3)));
-  LONGS_EQUAL(9, fleet.NodeOf(3).Beliefs()->config.value->version.value);
+TEST(Fleet, AStarterBesideAStalePlatformDoesNotServeWithAnOldDocument) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetOptions options;
+    options.seed = seed;
+    options.jitter = Milliseconds(120);
+    FakeFleet fleet(options);
+    fleet.Kill(3);
+    for (uint64_t version = 2; version <= 9; ++version) {
+      for (int balancer = 1; balancer <= 2; ++balancer)
+        static_cast<void>(
+            fleet.OfferConfig(balancer, fleet.ConfigText(version)));
+      fleet.RunFor(Milliseconds(500));
+    }
+    // Its platform still shows version 1.
+    fleet.Restart(3);
+    CHECK(fleet.RunUntil(
+        [&] { return fleet.NodeOf(3).Beliefs()->self.value->serving; },
+        Seconds(12)));
+    LONGS_EQUAL(9, fleet.NodeOf(3).Beliefs()->config.value->version.value);
+  }
 }
 
 TEST_GROUP(Feeds){
