A closure ends at a number, so that an owner wrongly taken for dead can own its flow again; targets

Ruled out: a shorter memory of closures (a sleeper may wake with requests whose deadline is a minute away). Change: a witness closes an owner up to the number it testifies about, which is all that its testimony needs; higher numbers stay open. cuminvanectl targets and watch merge the balancers' histograms and compare them with each class's target.

--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -2,9 +2,11 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include "control/control_func.h"
 #include "core/config_func.h"
@@ -14,6 +16,7 @@
 #include "core/vmlist_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
+#include "shell/target_func.h"
 #include "table/config_table.h"
 #include "table/result_codes.h"
 #include "table/settings_table.h"
@@ -23,6 +26,7 @@
 namespace {
 
 constexpr long kCallTimeoutMs = 2000;
+constexpr std::chrono::seconds kWatchInterval{2};
 
 /** One balancer's answer. */
 struct BalancerStatus {
@@ -123,6 +127,35 @@
   return complete ? ResultCode::kOk : ResultCode::kBalancerUnreachable;
 }
 
+/** Prints each class's target beside what the balancers measured, once or again
+ * and again. */
+ResultCode Targets(const std::vector<std::string>& addresses, int times) {
+  if (addresses.empty())
+    return Complain({ResultCode::kUsage, "--balancers is needed; see --help"});
+  ResultCode result = ResultCode::kOk;
+  for (int time = 0; time < times; ++time) {
+    if (time > 0)
+      std::this_thread::sleep_for(kWatchInterval);
+    result = ResultCode::kOk;
+    std::vector<Json::Value> statuses;
+    for (const BalancerStatus& one : AskAll(addresses)) {
+      if (one.answered) {
+        statuses.push_back(one.status);
+        continue;
+      }
+      std::cout << "balancer=" << one.address << " answered=no\n";
+      result = ResultCode::kBalancerUnreachable;
+    }
+    for (const TargetLine& line : CompareTargets(statuses)) {
+      std::cout << FormatTarget(line) << "\n";
+      if (!line.IsMet())
+        result = ResultCode::kTargetsNotMet;
+    }
+    std::cout.flush();
+  }
+  return result;
+}
+
 ResultCode SetLevel(const std::vector<std::string>& addresses,
                     const std::string& topic,
                     const std::string& severity) {
@@ -177,6 +210,10 @@
     return Check(words[1], options["as"].as<std::string>());
   if (verb == "status" && words.size() == 1)
     return Status(balancers, options.count("json") != 0);
+  if (verb == "targets" && words.size() == 1)
+    return Targets(balancers, 1);
+  if (verb == "watch" && words.size() == 1)
+    return Targets(balancers, options["times"].as<int>());
   if (verb == "log" && words.size() == 3)
     return SetLevel(balancers, words[1], words[2]);
   if (verb == "reference" && words.size() == 2)
@@ -195,6 +232,8 @@
       "The operators' tool\n\n"
       "  cuminvanectl check FILE [--as config|settings|vms]\n"
       "  cuminvanectl status --balancers A.B.C.D:PORT,... [--json]\n"
+      "  cuminvanectl targets --balancers A.B.C.D:PORT,...\n"
+      "  cuminvanectl watch --balancers A.B.C.D:PORT,... [--times N]\n"
       "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
       "  cuminvanectl reference config|settings|vms|codes\n");
   options.add_options()(
@@ -203,8 +242,9 @@
       "as", "Sort of file to check",
       cxxopts::value<std::string>()->default_value("config"),
       "SORT")("balancers", "Control addresses, parted by commas",
-              cxxopts::value<std::string>()->default_value(""),
-              "LIST")("json", "Print JSON");
+              cxxopts::value<std::string>()->default_value(""), "LIST")(
+      "json", "Print JSON")("times", "Watch: how often, every 2 s",
+                            cxxopts::value<int>()->default_value("30"));
   options.parse_positional({"command"});
   options.positional_help("COMMAND");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunCommand);
--- a/src/core/witness_base.cc
+++ b/src/core/witness_base.cc
@@ -11,7 +11,10 @@
                             RequestNumber number,
                             TimePoint forget_at) {
   Entry* const entry = this->Find(flow, forget_at);
-  if (entry == nullptr || entry->closed.contains(owner))
+  if (entry == nullptr)
+    return false;
+  const auto closure = entry->closed.find(owner);
+  if (closure != entry->closed.end() && number <= closure->second.up_to)
     return false;
   TimePoint& until = entry->intents[number];
   until = std::max(until, forget_at);
@@ -26,8 +29,9 @@
   // Without a place for the closure nothing can be promised.
   if (entry == nullptr)
     return Testimony::kMayHaveRun;
-  TimePoint& until = entry->closed[owner];
-  until = std::max(until, forget_at);
+  Closure& closure = entry->closed[owner];
+  closure.up_to = std::max(closure.up_to, number);
+  closure.forget_at = std::max(closure.forget_at, forget_at);
   return entry->intents.contains(number) ? Testimony::kMayHaveRun
                                          : Testimony::kNeverDispatched;
 }
@@ -49,8 +53,9 @@
     Entry& entry = item->second;
     std::erase_if(entry.intents,
                   [now](const auto& intent) { return intent.second <= now; });
-    std::erase_if(entry.closed,
-                  [now](const auto& closure) { return closure.second <= now; });
+    std::erase_if(entry.closed, [now](const auto& closure) {
+      return closure.second.forget_at <= now;
+    });
     if (entry.forget_at <= now)
       this->flows.erase(item);
   }
--- a/src/core/witness_base.h
+++ b/src/core/witness_base.h
@@ -46,7 +46,7 @@
                 TimePoint forget_at);
 
   /**
-   * Closes an owner for a flow and says what is known of a request.
+   * Closes an owner up to a request and says what is known of that request.
    * @param forget_at Until when the closure must be remembered.
    * @return What the witness can say of the request.
    */
@@ -66,11 +66,17 @@
   size_t Size() const { return this->flows.size(); }
 
  private:
+  /** Numbers that an owner may not dispatch any more. */
+  struct Closure {
+    RequestNumber up_to;
+    TimePoint forget_at;
+  };
+
   /** What is known of one flow. */
   struct Entry {
     std::map<RequestNumber, TimePoint>
-        intents;                         ///< With when each may be forgotten.
-    std::map<Holder, TimePoint> closed;  ///< Owners, with until when.
+        intents;  ///< With when each may be forgotten.
+    std::map<Holder, Closure> closed;
     TimePoint forget_at;
   };
 
--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -72,11 +72,11 @@
 
 Json::Value HistogramToJson(const LatencyHistogram& histogram) {
   Json::Value bins(Json::arrayValue);
-  ForEachBin(histogram, [&bins](int bin, double count) {
+  ForEachBin(histogram, [&](int bin, double count) {
     if (count == 0)
       return;
     Json::Value entry;
-    entry["bin"] = bin;
+    entry["upto_ms"] = histogram.axis().value(bin + 1);
     entry["count"] = static_cast<Json::UInt64>(count);
     bins.append(entry);
   });
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -45,6 +45,19 @@
   return list;
 }
 
+Json::Value TargetsToJson(const Config& config) {
+  Json::Value list(Json::arrayValue);
+  for (const WorkClass& work : config.classes) {
+    Json::Value entry;
+    entry["class"] = work.name;
+    entry["answered_within_ms"] =
+        static_cast<Json::Int64>(work.target.answered_within_ms);
+    entry["answered_percent"] = work.target.answered_percent;
+    list.append(entry);
+  }
+  return list;
+}
+
 }  // namespace
 
 std::string FormatStatus(const BoardView& board,
@@ -68,6 +81,7 @@
   json["unfinished"] = Number(load.unfinished);
   json["members"] = MembersToJson(*board.members.value);
   json["backends"] = BackendsToJson(backends, now);
+  json["targets"] = TargetsToJson(*board.config.value);
   json["metrics"] = metrics.ToJson(*board.config.value);
   const LogLevels levels = CurrentLogLevels();
   for (const Topic topic : kTopics)
--- /dev/null
+++ b/src/shell/target_type.h
@@ -0,0 +1,50 @@
+/** @file target_type.h A class's target beside what was measured of it. */
+
+#ifndef CUMINVANE_SHELL_TARGET_TYPE_H_
+#define CUMINVANE_SHELL_TARGET_TYPE_H_
+
+#include <cstdint>
+#include <string>
+
+namespace cuminvane {
+
+/** One line of `cuminvanectl targets`. */
+struct TargetLine {
+  std::string work_class;
+  std::string data_centre;  ///< `all` for the fleet.
+  int64_t within_ms = 0;    ///< Target: time to the whole answer.
+  double target_percent = 0;
+  uint64_t requests = 0;  ///< Ended, however.
+  uint64_t answered_in_time = 0;
+  std::string
+      most_common_failure;  ///< Name of the code, empty where none failed.
+  uint64_t failures = 0;    ///< Ended otherwise than answered.
+
+  bool operator==(const TargetLine&) const = default;
+
+  /** @return Share of requests answered in time, in percent; 100 where there
+   * were none. */
+  double MeasuredPercent() const {
+    constexpr double kPercent = 100;
+    return this->requests == 0
+               ? kPercent
+               : kPercent * static_cast<double>(this->answered_in_time) /
+                     static_cast<double>(this->requests);
+  }
+
+  /** @return Whether the target is met. */
+  bool IsMet() const { return this->MeasuredPercent() >= this->target_percent; }
+
+  /** @return What stands in the way, in one word. */
+  std::string Cause() const {
+    if (this->IsMet())
+      return "none";
+    const uint64_t late =
+        this->requests - this->answered_in_time - this->failures;
+    return late > this->failures ? "late_answers" : this->most_common_failure;
+  }
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_SHELL_TARGET_TYPE_H_
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -138,6 +138,25 @@
   LONGS_EQUAL(1, fleet.Starts(order.tag));
 }
 
+TEST(Fleet, AnOwnerOnceClosedByEveryWitnessCanOwnTheFlowAgain) {
+  FakeFleet fleet({});
+  const FlowHandle flow = fleet.OpenFlow();
+  // Each balancer in turn sleeps long enough for its flow to be taken over,
+  // twice round.
+  for (int round = 0; round < 6; ++round) {
+    const int owner = fleet.OwnerOf(flow);
+    fleet.Pause(owner);
+    CHECK_CODE(
+        ResultCode::kOk,
+        fleet.AskAndWait(flow, "edits", fleet.Order(), Milliseconds(9000))
+            .code);
+    fleet.Resume(owner);
+    fleet.RunFor(Seconds(3));
+    CHECK_CODE(ResultCode::kOk,
+               fleet.AskAndWait(flow, "edits", fleet.Order()).code);
+  }
+}
+
 TEST(Fleet, AWitnessThatDiesIsReplacedAndNothingIsDoubled) {
   FakeFleet fleet({});
   const FlowHandle flow = fleet.OpenFlow();
--- /dev/null
+++ b/tests/target_test.cc
@@ -0,0 +1,63 @@
+/** @file target_test.cc Targets beside measurements, merged over balancers. */
+
+#include "shell/target_func.h"
+#include "tests/test_text.h"
+
+using namespace cuminvane;
+
+namespace {
+
+/** Status of a balancer whose edits ended so. */
+Json::Value Status(const char* data_centre, int fast, int slow, int unknown) {
+  Json::Value status;
+  status["data_centre"] = data_centre;
+  Json::Value target;
+  target["class"] = "edits";
+  target["answered_within_ms"] = 1000;
+  target["answered_percent"] = 99;
+  status["targets"].append(target);
+  Json::Value& measured = status["metrics"]["classes"]["edits"];
+  measured["ends"]["ok"] = fast + slow;
+  measured["ends"]["outcome_unknown"] = unknown;
+  measured["ends"]["moved"] = 1000;
+  Json::Value bin;
+  bin["upto_ms"] = 900.5;
+  bin["count"] = fast;
+  measured["answered_ms"].append(bin);
+  bin["upto_ms"] = 1100.5;
+  bin["count"] = slow;
+  measured["answered_ms"].append(bin);
+  return status;
+}
+
+}  // namespace
+
+TEST_GROUP(Targets){};
+
+TEST(Targets, AreMergedForTheFleetAndEachDataCentre) {
+  const std::vector<TargetLine> lines = CompareTargets(
+      {Status("a", 100, 0, 0), Status("a", 99, 1, 0), Status("b", 50, 0, 50)});
+  LONGS_EQUAL(3, lines.size());
+  STRCMP_EQUAL("all", lines[0].data_centre.c_str());
+  LONGS_EQUAL(300, lines[0].requests);
+  LONGS_EQUAL(249, lines[0].answered_in_time);
+  CHECK(!lines[0].IsMet());
+  STRCMP_EQUAL("a", lines[1].data_centre.c_str());
+  CHECK(lines[1].IsMet());
+  STRCMP_EQUAL("none", lines[1].Cause().c_str());
+  STRCMP_EQUAL("outcome_unknown", lines[2].Cause().c_str());
+}
+
+TEST(Targets, ThatAreMissedByLateAnswersSaySo) {
+  const std::vector<TargetLine> lines = CompareTargets({Status("a", 90, 9, 1)});
+  DOUBLES_EQUAL(90, lines[0].MeasuredPercent(), 1e-9);
+  STRCMP_EQUAL("late_answers", lines[0].Cause().c_str());
+  STRCMP_EQUAL(
+      "class=edits data_centre=all answered_within_ms=1000 target_percent=99 "
+      "measured_percent=90 requests=100 met=no cause=late_answers",
+      FormatTarget(lines[0]).c_str());
+}
+
+TEST(Targets, WithoutRequestsAreMet) {
+  CHECK(CompareTargets({Status("a", 0, 0, 0)})[0].IsMet());
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -139,4 +139,5 @@
 wait "${pid_of[caller]}"
 sed 's/^/callers: /' "$run/caller.out"
 "$bin/cuminvanectl" status --balancers "$control" || true
+"$bin/cuminvanectl" targets --balancers "$control" | grep data_centre=all || true
 "$bin/cuminvane-standin" --role figures --dir "$run" --config "$run/config.ini" || { keep=yes; exit 1; }
