One parser of whole numbers for documents

Cause: schema_func.cc, config_func.cc and vmlist_func.cc each parsed a whole decimal number with the same lines. Change: ParseNumber in schema_func.h serves all three; behaviour as before.

--- a/src/core/config_func.cc
+++ b/src/core/config_func.cc
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 #include "core/ini_func.h"
@@ -17,10 +16,7 @@
 namespace {
 
 KeyNumber ParseKeyNumber(const std::string& name) {
-  uint32_t number = 0;
-  const char* const last = name.data() + name.size();
-  const auto [end, error] = std::from_chars(name.data(), last, number);
-  return error == std::errc{} && end == last ? KeyNumber{number} : KeyNumber{};
+  return KeyNumber{ParseNumber<uint32_t>(name).value_or(0)};
 }
 
 template <class Item, class Id>
--- a/src/core/schema_func.cc
+++ b/src/core/schema_func.cc
@@ -5,7 +5,6 @@
 #include <sodium.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <iomanip>
 #include <sstream>
@@ -13,16 +12,6 @@
 namespace cuminvane {
 namespace {
 
-template <class Number>
-std::optional<Number> ParseNumber(std::string_view text) {
-  Number number{};
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data(), last, number);
-  if (error != std::errc{} || end != last)
-    return std::nullopt;
-  return number;
-}
-
 std::vector<std::string> Split(std::string_view text, char separator) {
   std::vector<std::string> parts;
   std::istringstream stream{std::string(text)};
--- a/src/core/schema_func.h
+++ b/src/core/schema_func.h
@@ -4,6 +4,7 @@
 #ifndef CUMINVANE_CORE_SCHEMA_FUNC_H_
 #define CUMINVANE_CORE_SCHEMA_FUNC_H_
 
+#include <charconv>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -89,6 +90,20 @@
  */
 std::optional<std::string> ParseHex(std::string_view text);
 
+/**
+ * @param text Decimal digits, with nothing before or after them.
+ * @return The number, or nothing where the text is something else.
+ */
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number{};
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc{} || end != last)
+    return std::nullopt;
+  return number;
+}
+
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_CORE_SCHEMA_FUNC_H_
--- a/src/core/vmlist_func.cc
+++ b/src/core/vmlist_func.cc
@@ -3,7 +3,6 @@
 #include "core/vmlist_func.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "core/config_func.h"
 #include "core/ini_func.h"
@@ -14,10 +13,7 @@
 namespace {
 
 VmId ParseVmId(const std::string& name) {
-  uint32_t number = 0;
-  const char* const last = name.data() + name.size();
-  const auto [end, error] = std::from_chars(name.data(), last, number);
-  return error == std::errc{} && end == last ? VmId{number} : VmId{};
+  return VmId{ParseNumber<uint32_t>(name).value_or(0)};
 }
 
 Vm ReadVm(const SectionReader& section) {
