Packets wait for the documents at the start; SIGHUP and changed settings are read again

Cause 1: between bind and the first documents (20 to 60 ms) packets were read, dropped and reset (no_route); a dropped one comes again up to 1.6 s later. Now the socket is read only once documents are in force. Cause 2: SIGHUP ended the process; now the settings are read again, also every 2 s without a signal. TLS is not initialised any more at the start. A balancer whose first peers were all down goes on asking. A start that follows one whose clock was ahead raises its incarnation.

--- a/src/bin/cuminvaned.cc
+++ b/src/bin/cuminvaned.cc
@@ -14,14 +14,17 @@
 namespace cuminvane {
 namespace {
 
-ResultCode Serve(Settings settings) {
+ResultCode Serve(Settings settings,
+                 const std::string& path,
+                 const std::string& text) {
   if (settings.incarnation == Incarnation{})
     settings.incarnation =
         Incarnation{static_cast<uint64_t>(ToWire(ReadClock()))};
   StartLog("cuminvaned." + ToString(settings.id), settings.log_levels,
            settings.lines_per_s, settings.input_lines_per_s);
-  curl_global_init(CURL_GLOBAL_DEFAULT);
-  const auto daemon = std::make_shared<Daemon>(std::move(settings));
+  // Plain HTTP only; a TLS library would slow the start.
+  curl_global_init(CURL_GLOBAL_NOTHING);
+  const auto daemon = std::make_shared<Daemon>(std::move(settings), path, text);
   const Result<void> ended = daemon->Run();
   return ended ? ResultCode::kOk : Complain(ended.error());
 }
@@ -42,7 +45,7 @@
     std::cout << path << ": ok\n";
     return ResultCode::kOk;
   }
-  return Serve(std::move(check.settings));
+  return Serve(std::move(check.settings), path, text.value());
 }
 
 }  // namespace
--- a/src/core/control_base.h
+++ b/src/core/control_base.h
@@ -33,7 +33,9 @@
  public:
   /** @param settings Must outlive this; its incarnation must be set. */
   explicit ControlPlane(const Settings& settings)
-      : settings(settings), members(MakeSelf(settings), settings.membership) {
+      : settings(settings),
+        members(MakeSelf(settings), settings.membership),
+        first_peers(settings.first_peers) {
     SelfState self;
     self.id = SelfHolder(settings);
     this->board.Write(&BoardView::self, std::make_shared<const SelfState>(self),
@@ -190,6 +192,13 @@
     return change != nullptr && change->kind == ChangeKind::kStop;
   }
 
+  /** Replaces the peers that are asked while no other is known. */
+  void SetFirstPeers(std::vector<Endpoint> peers) {
+    this->first_peers.With([&](std::vector<Endpoint>& known) {
+      known = std::move(peers);
+    });
+  }
+
   /** Notes that the documents here were the newest ones at that time. */
   void ConfirmDocuments(TimePoint at) {
     this->members.With([at](MemberTable& table) { table.SetConfirmed(at); });
@@ -230,6 +239,7 @@
   /** Of the time to be in force; the rest is for a read of one's own. */
   static constexpr int kStalePercent = 70;
   static constexpr Milliseconds kFirstPingInterval{200};
+  static constexpr Milliseconds kLonelyPingInterval{1000};
   static constexpr Milliseconds kWaitAfterPeer{300};
   static constexpr Milliseconds kWaitForPeers{1000};
   /** After this a peer that told of a newer document is taken to be out of
@@ -343,10 +353,12 @@
                         std::make_shared<const MemberView>(table.View()),
                         BoardSource::kMembership, now);
       const Incarnation clean_left = table.Self().clean_left;
+      const Incarnation incarnation = table.Self().id.incarnation;
       this->board.Update(
           &BoardView::self,
-          [clean_left](const BoardView&, SelfState& self) {
+          [clean_left, incarnation](const BoardView&, SelfState& self) {
             self.clean_left = clean_left;
+            self.id.incarnation = incarnation;
           },
           BoardSource::kMembership, now);
       return true;
@@ -377,11 +389,14 @@
                                         : std::prev(above)->first;
   }
 
+  std::vector<Endpoint> FirstPeers() const {
+    return this->first_peers.With([](const auto& peers) { return peers; });
+  }
+
   /** How long after its own documents a starter waits for what peers may have.
    */
   Milliseconds WaitBeforeServing(const BoardView& view) const {
-    if (view.members.value->members.empty() &&
-        this->settings.first_peers.empty())
+    if (view.members.value->members.empty() && this->FirstPeers().empty())
       return Milliseconds(0);
     const bool behind =
         this->config.With([](const auto& store) { return store.IsBehind(); }) ||
@@ -400,15 +415,24 @@
    * whoever answers. */
   void TickStart(TimePoint now, Output& out) {
     const auto view = this->board.Read();
-    if (view->self.value->serving || view->self.value->stopping)
+    if (view->self.value->stopping)
+      return;
+    // One whose first peers were all down goes on asking after it serves.
+    const bool alone = std::ranges::none_of(
+        view->members.value->members, [](const MemberInfo& member) {
+          return member.State() <= MemberState::kLeaving;
+        });
+    if (view->self.value->serving && !alone)
       return;
     if (this->next_first_ping <= now) {
-      this->next_first_ping = now + kFirstPingInterval;
+      this->next_first_ping =
+          now + (view->self.value->serving ? kLonelyPingInterval
+                                           : kFirstPingInterval);
       this->members.With([&](MemberTable& table) {
-        table.PingFirst(this->settings.first_peers, out);
+        table.PingFirst(this->FirstPeers(), out);
       });
     }
-    if (!this->IsReady())
+    if (view->self.value->serving || !this->IsReady())
       return;
     this->ready_since = std::min(this->ready_since, now);
     if (now < this->ready_since + this->WaitBeforeServing(*view))
@@ -422,6 +446,7 @@
   const Settings& settings;
   Board<Mutex> board;
   Guarded<MemberTable, Mutex> members;
+  Guarded<std::vector<Endpoint>, Mutex> first_peers;
   Guarded<DocumentStore<ConfigDocument>, Mutex> config;
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
   uint64_t published_changes = 0;  ///< Under the lock of `members`.
--- a/src/core/member_base.cc
+++ b/src/core/member_base.cc
@@ -252,6 +252,11 @@
       this->self.clean_left = clean_left;
       ++this->changes;
     }
+    if (info.id.incarnation > this->self.id.incarnation) {
+      // The start before this one read a clock that was ahead.
+      this->self.id.incarnation = Incarnation{info.id.incarnation.value + 1};
+      ++this->changes;
+    }
     this->Refute(info);
     return;
   }
--- a/src/core/node_base.h
+++ b/src/core/node_base.h
@@ -198,6 +198,10 @@
   bool ShouldWatch(TimePoint now) const {
     return this->control.ShouldWatch(now);
   }
+  /** As ControlPlane::SetFirstPeers. */
+  void SetFirstPeers(std::vector<Endpoint> peers) {
+    this->control.SetFirstPeers(std::move(peers));
+  }
   /** As ControlPlane::ConfirmDocuments. */
   void ConfirmDocuments(TimePoint at) { this->control.ConfirmDocuments(at); }
   /** As ControlPlane::IsReady. */
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -7,10 +7,13 @@
 #include <random>
 
 #include "core/decision_func.h"
+#include "core/ini_func.h"
+#include "core/settings_func.h"
 #include "platform/packet_func.h"
 #include "shell/checker_base.h"
 #include "shell/clock_func.h"
 #include "shell/log_func.h"
+#include "shell/program_func.h"
 #include "shell/status_func.h"
 #include "shell/watcher_base.h"
 
@@ -27,6 +30,8 @@
 constexpr Milliseconds kQuiet{400};
 /** Datagrams read before other sockets get their turn. */
 constexpr int kReadsPerTurn = 64;
+/** The settings file may change without a signal; it is read this often. */
+constexpr Milliseconds kSettingsLook{2000};
 /** Batches read before other sockets get their turn. */
 constexpr int kBatchesPerTurn = 4;
 
@@ -72,8 +77,13 @@
     if (this->SocketOf(lane).is_open())
       this->WaitFor(lane);
   }
-  if (this->packet_socket.is_open())
-    this->WaitForPackets();
+}
+
+void Worker::StartPackets() {
+  if (this->reads_packets || !this->packet_socket.is_open())
+    return;
+  this->reads_packets = true;
+  this->WaitForPackets();
 }
 
 void Worker::Carry(TimePoint now, PacketOutput& output) {
@@ -199,8 +209,13 @@
       platform::CallerAddress(reset.key, this->packet_address));
 }
 
-Daemon::Daemon(Settings settings)
-    : settings(std::move(settings)), balancer(this->settings) {}
+Daemon::Daemon(Settings settings,
+               std::string settings_path,
+               std::string settings_text)
+    : settings(std::move(settings)),
+      settings_path(std::move(settings_path)),
+      settings_text(std::move(settings_text)),
+      balancer(this->settings) {}
 
 Result<void> Daemon::Run() {
   BOOST_OUTCOME_TRY(this->Open());
@@ -252,6 +267,8 @@
     if (!failure)
       self->BeginStop("signal");
   });
+  this->reload_signal = std::make_unique<asio::signal_set>(context, SIGHUP);
+  this->WaitForReload();
   for (const auto& worker : this->workers)
     worker->Start();
   this->ScheduleTick();
@@ -305,6 +322,12 @@
   const TimePoint now = ReadClock();
   this->balancer.Tick(now, worker.Random(), this->tick_out);
   worker.Carry(now, this->tick_out);
+  if (now >= this->next_settings_look) {
+    this->next_settings_look = now + kSettingsLook;
+    this->Reload("file_changed");
+  }
+  if (!this->documents_in_hand && this->balancer.Tokens().IsReady())
+    this->StartPackets();
   if (!this->stopping && this->balancer.Tokens().IsStopPlanned(now))
     this->BeginStop("planned_change");
   if (this->stopping && this->IsStopComplete(now)) {
@@ -314,6 +337,50 @@
   this->ScheduleTick();
 }
 
+void Daemon::StartPackets() {
+  this->documents_in_hand = true;
+  for (const auto& worker : this->workers)
+    asio::post(worker->Context(), [worker] { worker->StartPackets(); });
+}
+
+void Daemon::WaitForReload() {
+  this->reload_signal->async_wait(
+      [self = this->shared_from_this()](const asio::error_code& failure, int) {
+        if (failure)
+          return;
+        self->Reload("signal");
+        self->WaitForReload();
+      });
+}
+
+void Daemon::Reload(const char* reason) {
+  const Result<std::string> text = ReadFile(this->settings_path);
+  if (!text) {
+    LogLine(Topic::kProcess, Severity::kError,
+            std::string("event=reload_failed reason=") + reason + " code=" +
+                ToString(text.error().code));
+    return;
+  }
+  if (text.value() == this->settings_text)
+    return;
+  this->settings_text = text.value();
+  const SettingsCheck check =
+      CheckSettings(this->settings_path, text.value());
+  if (!check.problems.empty()) {
+    LogLine(Topic::kProcess, Severity::kError,
+            std::string("event=reload_refused reason=") + reason +
+                " problems=\"" + FormatProblems(check.problems) + "\"");
+    return;
+  }
+  for (const Topic topic : kTopics)
+    SetLogLevel(topic, check.settings.log_levels.least.at(
+                           static_cast<size_t>(topic)));
+  this->balancer.Tokens().SetFirstPeers(check.settings.first_peers);
+  // Addresses and limits are those of the start.
+  LogLine(Topic::kProcess, Severity::kInfo,
+          std::string("event=reloaded reason=") + reason);
+}
+
 void Daemon::BeginStop(const char* reason) {
   if (this->stopping)
     return;
@@ -349,6 +416,7 @@
               std::to_string(this->balancer.Tokens().Load().unfinished));
   this->closing = true;
   this->signals->cancel();
+  this->reload_signal->cancel();
   for (const auto& worker : this->workers)
     worker->Close();
 }
@@ -379,6 +447,8 @@
              [worker, now, carried = std::move(out)]() mutable {
                worker->Carry(now, carried);
              });
+  if (!this->documents_in_hand && this->balancer.Tokens().IsReady())
+    this->StartPackets();
   return taken;
 }
 
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -39,6 +39,10 @@
   /** Begins to read; the pending reads keep the worker alive. */
   void Start();
 
+  /** Begins to read packets of opaque flows. Until there are documents they
+   * wait in the socket: a dropped one comes again only after a long time. */
+  void StartPackets();
+
   /** Carries out an output that was decided in this worker's thread. */
   void Carry(TimePoint now, PacketOutput& out);
 
@@ -68,6 +72,7 @@
   UdpSocket packet_socket;
   Endpoint packet_address;
   PacketLane packet_lane;
+  bool reads_packets = false;
   std::atomic<TimePoint> last_packet_at;
   RandomEngine random;
   Metrics metrics;
@@ -78,9 +83,15 @@
 /** The whole process. */
 class Daemon : public std::enable_shared_from_this<Daemon> {
  public:
-  /** @param settings Settings that have passed their check; the incarnation
-   * must be set. */
-  explicit Daemon(Settings settings);
+  /**
+   * @param settings Settings that have passed their check; the incarnation must
+   * be set.
+   * @param settings_path Where they were read from, and are read again.
+   * @param settings_text The text that was read.
+   */
+  Daemon(Settings settings,
+         std::string settings_path,
+         std::string settings_text);
 
   /**
    * Runs until a graceful shutdown is complete.
@@ -93,6 +104,9 @@
   Result<void> Open();
   void ScheduleTick();
   void OnTick();
+  void StartPackets();
+  void WaitForReload();
+  void Reload(const char* reason);
   void BeginStop(const char* reason);
   bool IsStopComplete(TimePoint now) const;
   void Finish();
@@ -105,14 +119,19 @@
   ControlReply ChangeLogLevel(const std::string& params);
 
   const Settings settings;
+  const std::string settings_path;
+  std::string settings_text;
+  TimePoint next_settings_look;
   DaemonBalancer balancer;
   std::vector<std::shared_ptr<Worker>> workers;
   std::unique_ptr<asio::steady_timer> timer;
   std::unique_ptr<asio::signal_set> signals;
+  std::unique_ptr<asio::signal_set> reload_signal;
   std::unique_ptr<ControlServer> control;
   std::vector<std::unique_ptr<PageServer>> pages;
   std::vector<std::thread> threads;
   std::atomic<bool> closing = false;  ///< Ends the platform's watchers.
+  std::atomic<bool> documents_in_hand = false;
   bool stopping = false;
   TimePoint linger_until = kNever;
   TimePoint grace_until = kNever;
