--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -162,6 +162,9 @@
   /** A caller waits 200 ms before it copies its opening packet; an answer takes
    * one round trip. */
   static constexpr Milliseconds kOpenWait{60};
+  /** A caller's last copy of an opening packet comes 600 ms after the first;
+   * with the way through the network it is here within this. */
+  static constexpr Milliseconds kCopySpan{1500};
   /** A backend server that has answered something this recently is alive. */
   static constexpr Milliseconds kFreshLife{150};
   /** How long a tag or an address may be news to this balancer. */
@@ -299,17 +302,15 @@
                                 BackendPool& backends,
                                 const OpaquePacket& packet) {
     FlowRecord* record = shard.flows.Find(packet.key);
-    if (record != nullptr && record->next_sequence != packet.sequence &&
-        record->established) {
+    if (record != nullptr && record->established) {
+      PoolMember* const member = backends.Find(record->backend);
+      if (IsCopy(*record, packet, call.now))
+        return member == nullptr ? PacketAction{} : Forward(*member);
       // The caller's port is used again.
       Uncount(*record, backends);
       shard.flows.Forget(*record);
       record = nullptr;
     }
-    if (record != nullptr && record->established) {
-      PoolMember* const member = backends.Find(record->backend);
-      return member == nullptr ? PacketAction{} : Forward(*member);
-    }
     const OpaqueRoute* const route = call.routes.Find(packet.key.service);
     if (route == nullptr)
       return OnNoRoute(call, packet);
@@ -324,6 +325,16 @@
     return Place(call, shard, backends, packet, *route, avoided, *record);
   }
 
+  /** @return Whether an opening packet is a late copy of the one that opened
+   * the flow. */
+  static bool IsCopy(const FlowRecord& record,
+                     const OpaquePacket& packet,
+                     TimePoint now) {
+    if (record.opening_sequence != 0)
+      return record.opening_sequence == packet.sequence;
+    return record.opened_at + kCopySpan > now;
+  }
+
   static PacketAction Place(const Call& call,
                             Shard& shard,
                             BackendPool& backends,
@@ -332,6 +343,7 @@
                             VmId avoided,
                             FlowRecord& record) {
     record.seen_at = call.now;
+    record.opening_sequence = packet.sequence;
     record.next_sequence = packet.sequence;
     const PoolChoice choice = backends.Choose(
         route.ServiceOf(FlowIdOf(packet.key)), avoided, call.now, call.random);
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -260,7 +260,7 @@
                              TimePoint now,
                              PacketOutput& out) {
   const Liveness& liveness = member.liveness;
-  if (liveness.reach != Reach::kReachable || liveness.alive_at >= since ||
+  if (liveness.reach != Reach::kReachable || liveness.alive_at > since ||
       liveness.next_check_at > now || member.gone_at != kNever)
     return;
   this->SetReach(member, Reach::kSuspect, ToString(evidence), out);
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,229 @@
+/** @file platform_test.cc The platform's formats are read as published, and
+ * nothing malformed gets through. */
+
+#include <random>
+
+#include "core/config_func.h"
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "core/vmlist_func.h"
+#include "platform/packet_func.h"
+#include "platform/record_func.h"
+#include "platform/store_base.h"
+#include "tests/test_text.h"
+
+using namespace cuminvane;
+
+namespace {
+
+std::vector<std::byte> Bytes(const std::string& hex) {
+  std::string digits;
+  for (const char c : hex) {
+    if (c != ' ')
+      digits += c;
+  }
+  const std::string raw = ParseHex(digits).value();
+  std::vector<std::byte> bytes(raw.size());
+  for (size_t index = 0; index < raw.size(); ++index)
+    bytes[index] = static_cast<std::byte>(raw[index]);
+  return bytes;
+}
+
+/** An opening packet from 100.64.0.7:40001 to 198.18.0.1:443. */
+const char* const kOpening =
+    "11 22 33 44 00 00 00 00 00 00 00 00 a1 b2 c3 d5 00 00 08 00 64 40 00 07 "
+    "9c 41 01 bb c6 12 00 01";
+
+std::string Entry(const std::string& changed = "",
+                  const std::string& value = "") {
+  std::map<std::string, std::string> fields = {
+      {"service", "\"desk\""},   {"address", "\"10.128.0.9:8080\""},
+      {"zone", "\"zone-a\""},    {"version", "\"v1\""},
+      {"slots", "3"},            {"state", "\"ready\""},
+      {"cold_remaining_ms", "0"}, {"seq", "4"},
+      {"born", "1700000000000"}};
+  if (!changed.empty())
+    fields[changed] = value;
+  std::string json;
+  for (const auto& [name, text] : fields) {
+    if (!text.empty())
+      json += (json.empty() ? "{\"" : ",\"") + name + "\":" + text;
+  }
+  return json + "}";
+}
+
+const char* const kConfig =
+    R"({"version":7,"routes":[
+    {"name":"r-1","hostname":"198.18.0.1","prefix":"/8080/","route_type":"unsafe",
+     "timeout_ms":4000,"target_latency_ms":250,"priority":0,"service":"desk"},
+    {"name":"r-2","hostname":"198.18.0.1","prefix":"/8443/","route_type":"safe",
+     "timeout_ms":3000,"target_latency_ms":200,"priority":2,
+     "traffic_split":[{"service":"desk","weight":90},{"service":"proof","weight":10}]}],
+    "services":[{"name":"desk"},{"name":"proof"}],
+    "limits":{"idle_timeout_ms":12000}})";
+
+}  // namespace
+
+TEST_GROUP(Platform){};
+
+TEST(Platform, AnOpeningPacketIsRead) {
+  const Result<OpaquePacket> packet = platform::ReadPacket(Bytes(kOpening));
+  CHECK(packet.has_value());
+  STRCMP_EQUAL("100.64.0.7:40001",
+               ToString(packet.value().key.caller).c_str());
+  STRCMP_EQUAL("198.18.0.1:443", ToString(packet.value().key.service).c_str());
+  LONGS_EQUAL(0x11223344, packet.value().sequence);
+  CHECK(packet.value().opens);
+  LONGS_EQUAL(0, packet.value().length);
+}
+
+TEST(Platform, AResetIsWrittenAsPublished) {
+  const FlowReset reset{
+      {*ParseEndpoint("100.64.0.7:40001"), *ParseEndpoint("198.18.0.1:443")},
+      0};
+  const auto written = platform::WriteReset(reset);
+  const std::vector<std::byte> expected = Bytes(
+      "00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 02 00 c6 12 00 "
+      "01 01 bb 9c 41 64 40 00 07");
+  CHECK(std::ranges::equal(written, expected));
+}
+
+TEST(Platform, AddressingChangesNothingButTargetAndTag) {
+  std::vector<std::byte> datagram(platform::kTargetBytes);
+  const std::vector<std::byte> packet = Bytes(kOpening);
+  datagram.insert(datagram.end(), packet.begin(), packet.end());
+  PacketAction action;
+  action.backend = VmId{0x7f3a91c2};
+  action.tag = FlowTag{0x01020304};
+  platform::AddressPacket(datagram, action);
+  const std::vector<std::byte> expected = Bytes(
+      "00 00 00 00 7f 3a 91 c2 11 22 33 44 00 00 00 00 01 02 03 04 a1 b2 c3 "
+      "d5 00 00 08 00 64 40 00 07 9c 41 01 bb c6 12 00 01");
+  CHECK(datagram == expected);
+}
+
+TEST(Platform, PacketsThatAreNoneAreRefused) {
+  std::vector<std::byte> packet = Bytes(kOpening);
+  CHECK_CODE(ResultCode::kTruncated,
+             platform::ReadPacket(std::span(packet).first(31)).error().code);
+  packet.resize(platform::kPacketBytes + 1);
+  CHECK_CODE(ResultCode::kOversized,
+             platform::ReadPacket(packet).error().code);
+  packet = Bytes(kOpening);
+  packet.push_back(std::byte{1});
+  CHECK_CODE(ResultCode::kGarbage, platform::ReadPacket(packet).error().code);
+  // An opening packet that answers another one is a backend server's.
+  packet = Bytes(kOpening);
+  packet[18] = std::byte{9};
+  CHECK_CODE(ResultCode::kGarbage, platform::ReadPacket(packet).error().code);
+}
+
+TEST(Platform, RandomBytesNeverDoHarm) {
+  std::mt19937_64 random(11);
+  for (int round = 0; round < 20000; ++round) {
+    std::vector<std::byte> bytes(random() % 80);
+    for (std::byte& byte : bytes)
+      byte = static_cast<std::byte>(random());
+    const Result<OpaquePacket> packet = platform::ReadPacket(bytes);
+    CHECK(!packet || bytes.size() ==
+                         platform::kPacketHeadBytes + packet.value().length);
+  }
+}
+
+TEST(Platform, APageAndAWatchAreRead) {
+  const Result<platform::StoreAnswer> page = platform::ReadAnswer(
+      R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"create_revision":4,"lease":0}],"has_more":true,"current_rev":530})");
+  CHECK(page.has_value());
+  CHECK(page.value().has_more);
+  LONGS_EQUAL(530, page.value().revision);
+  STRCMP_EQUAL("node-1", page.value().items.front().value.c_str());
+  const Result<platform::StoreAnswer> changes = platform::ReadAnswer(
+      R"({"events":[{"key":"b","revision":413,"removed":true}],"current_rev":413})");
+  CHECK(changes.has_value());
+  CHECK(changes.value().items.front().removed);
+}
+
+TEST(Platform, AnswersThatAreNoneAreRefused) {
+  for (const char* const body :
+       {"", "[]", "{}", R"({"items":[]})", R"({"current_rev":1})",
+        R"({"items":[{"key":"a","value":"%%","revision":1}],"current_rev":1})",
+        R"({"items":[{"value":"","revision":1}],"current_rev":1})",
+        R"({"events":{},"current_rev":1})", R"({"items":[1],"current_rev":1})"})
+    CHECK_CODE(ResultCode::kGarbage, platform::ReadAnswer(body).error().code);
+}
+
+TEST(Platform, TheOperatorsConfigurationBecomesADocument) {
+  const platform::Translation translation =
+      platform::TranslateConfig({{"op/config", kConfig}});
+  LONGS_EQUAL(0, translation.problems.size());
+  const ConfigCheck check = CheckConfig("c", translation.text);
+  STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+  LONGS_EQUAL(7, check.config.version.value);
+  LONGS_EQUAL(12000, check.config.flow_idle.count());
+  const WorkClass* const first = FindClass(check.config, ClassIdOf("r-1"));
+  CHECK(!first->idempotent);
+  LONGS_EQUAL(1, first->rank);
+  LONGS_EQUAL(250, first->target.answered_within_ms);
+  STRCMP_EQUAL("198.18.0.1:8080", ToString(first->addresses.front()).c_str());
+  const WorkClass* const second = FindClass(check.config, ClassIdOf("r-2"));
+  CHECK(second->idempotent);
+  LONGS_EQUAL(2, second->split.size());
+  LONGS_EQUAL(10, second->split[1].weight);
+}
+
+TEST(Platform, AConfigurationThatIsNoneIsNotOffered) {
+  for (const char* const json : {"", "7", "{}", R"({"version":"7"})",
+                                 R"({"version":7,"routes":{},"services":[]})"}) {
+    const platform::Translation translation =
+        platform::TranslateConfig({{"op/config", json}});
+    STRCMP_EQUAL("", translation.text.c_str());
+    LONGS_EQUAL(1, translation.problems.size());
+  }
+}
+
+TEST(Platform, EntriesBecomeTheListOfVms) {
+  const platform::Translation translation = platform::TranslateVmList(
+      {{"op/config", "{}"},
+       {"servers/i-7f3a91c2", Entry()},
+       {"servers/i-0b", Entry("state", "\"draining\"")}},
+      530);
+  LONGS_EQUAL(0, translation.problems.size());
+  const VmListCheck check = CheckVmList("v", translation.text);
+  STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+  LONGS_EQUAL(530, check.list.version.value);
+  const Vm* const vm = FindVm(check.list, VmId{0x7f3a91c2});
+  CHECK(vm != nullptr);
+  CHECK(!vm->leaving);
+  LONGS_EQUAL(3, vm->slots);
+  CHECK(vm->incarnation == Incarnation{1700000000000});
+  CHECK(FindVm(check.list, VmId{0x0b})->leaving);
+}
+
+TEST(Platform, AnEntryFromAnotherWriterNamesNoServer) {
+  const std::vector<std::pair<std::string, std::string>> wrong = {
+      {"service", ""},           {"service", "7"},
+      {"address", "\"here\""},   {"zone", "null"},
+      {"version", "1"},          {"slots", "0"},
+      {"slots", "\"3\""},        {"slots", "-3"},
+      {"state", "\"asleep\""},   {"cold_remaining_ms", "\"\""},
+      {"seq", ""},               {"born", "\"now\""},
+      {"born", "1.5"}};
+  for (const auto& [field, value] : wrong) {
+    const platform::Translation translation = platform::TranslateVmList(
+        {{"servers/i-1", Entry()}, {"servers/i-2", Entry(field, value)}}, 1);
+    LONGS_EQUAL(1, translation.problems.size());
+    const VmListCheck check = CheckVmList("v", translation.text);
+    LONGS_EQUAL(0, check.problems.size());
+    LONGS_EQUAL(1, check.list.vms.size());
+  }
+  const platform::Translation unreadable = platform::TranslateVmList(
+      {{"servers/xyz", Entry()}, {"servers/i-3", "\xff\xfe"}}, 1);
+  LONGS_EQUAL(2, unreadable.problems.size());
+}
+
+TEST(Platform, TheProjectsOwnDocumentsGoThroughAsTheyAre) {
+  const platform::StoreItems items = {{"config", "[document]\n"},
+                                      {"vms", "[list]\n"}};
+  STRCMP_EQUAL("[document]\n", platform::TranslateConfig(items).text.c_str());
+  STRCMP_EQUAL("[list]\n", platform::TranslateVmList(items, 5).text.c_str());
+}
