A tag names the backend server, not one start of it

New flows were placed on the present start with the old start's tag; when the list told of the new start, that tag was taken for over and the open flows were reset. Ruled out: false verdicts of the checks (no such verdict in the traces), unknown tags (none seen outside of starts).

--- a/src/core/control_base.h
+++ b/src/core/control_base.h
@@ -194,9 +194,8 @@
 
   /** Replaces the peers that are asked while no other is known. */
   void SetFirstPeers(std::vector<Endpoint> peers) {
-    this->first_peers.With([&](std::vector<Endpoint>& known) {
-      known = std::move(peers);
-    });
+    this->first_peers.With(
+        [&](std::vector<Endpoint>& known) { known = std::move(peers); });
   }
 
   /** Notes that the documents here were the newest ones at that time. */
--- a/src/packet/flow_type.h
+++ b/src/packet/flow_type.h
@@ -13,10 +13,10 @@
 struct FlowRecord {
   FlowKey key;
   VmId backend;
-  FlowTag tag;                 ///< Of the backend server's start; 0: not known.
+  FlowTag tag;  ///< Of the backend server's start; 0: not known.
   uint32_t opening_sequence = 0;  ///< Of the opening packet, where one came.
-  uint32_t next_sequence = 0;  ///< End of the caller's data seen so far.
-  uint32_t acknowledged = 0;   ///< Of the backend server's data.
+  uint32_t next_sequence = 0;     ///< End of the caller's data seen so far.
+  uint32_t acknowledged = 0;      ///< Of the backend server's data.
   bool established = false;  ///< A packet other than an opening one has passed.
   bool counted = false;      ///< Counts among the backend server's flows.
   bool checked = false;      ///< Its unanswered packet has raised a suspicion.
--- a/src/packet/packet_func.cc
+++ b/src/packet/packet_func.cc
@@ -15,10 +15,9 @@
   return FlowId{XXH3_64bits(packed.data(), sizeof(packed))};
 }
 
-FlowTag TagOf(VmId backend, Incarnation incarnation) {
-  const std::array<uint64_t, 2> packed{backend.value, incarnation.value};
+FlowTag TagOf(VmId backend) {
   const auto tag =
-      static_cast<uint32_t>(XXH3_64bits(packed.data(), sizeof(packed)));
+      static_cast<uint32_t>(XXH3_64bits(&backend.value, sizeof(backend.value)));
   return FlowTag{tag == 0 ? 1 : tag};
 }
 
--- a/src/packet/packet_func.h
+++ b/src/packet/packet_func.h
@@ -11,9 +11,8 @@
  * balancer. */
 FlowId FlowIdOf(const FlowKey& key);
 
-/** @return The tag of one start of a backend server, the same at every
- * balancer; never 0. */
-FlowTag TagOf(VmId backend, Incarnation incarnation);
+/** @return The tag of a backend server, the same at every balancer; never 0. */
+FlowTag TagOf(VmId backend);
 
 /** @return Whether `later` comes after `earlier` in wrapping sequence space. */
 constexpr bool IsAfter(uint32_t later, uint32_t earlier) {
--- a/src/packet/packet_type.h
+++ b/src/packet/packet_type.h
@@ -20,7 +20,7 @@
   auto operator<=>(const FlowKey&) const = default;
 };
 
-/** Identifies a backend server's start inside packets; 0 means none. */
+/** Identifies a backend server inside packets; 0 means none. */
 using FlowTag = StrongId<struct FlowTagTag, uint32_t>;
 
 /** What the balancer reads of a caller's packet; the payload stays opaque. */
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -52,9 +52,12 @@
       known.config = board.config.value;
       known.table = std::make_shared<const RouteTable>(*board.config.value);
     });
-    this->pool.With([&](BackendPool& known) {
-      known.Sync(*board.vms.value, *board.config.value, now);
-    });
+    const std::vector<VmId> restarted =
+        this->pool.With([&](BackendPool& known) {
+          return known.Sync(*board.vms.value, *board.config.value, now);
+        });
+    for (const VmId vm : restarted)
+      this->UncountFlowsOf(vm);
   }
 
   /**
@@ -463,8 +466,6 @@
                                    const OpaquePacket& packet,
                                    FlowRecord& record) {
     Uncount(record, backends);
-    if (backends.IsOver(record.tag))
-      return Reset("backend_restarted", packet, record.backend, call);
     if (record.opened_at + kNewsDelay <= call.now)
       return Reset("backend_unknown", packet, record.backend, call);
     Log("flow_dropped", "backend_unknown", packet, record.backend,
@@ -524,6 +525,21 @@
     });
   }
 
+  /** A start has none of the flows of the one before; one that it has all the
+   * same counts again with its next packet. */
+  void UncountFlowsOf(VmId vm) {
+    for (auto& guarded : this->shards) {
+      guarded.With([&](Shard& shard) {
+        this->pool.With([&](BackendPool& backends) {
+          shard.flows.ForEach([&](FlowRecord& record) {
+            if (record.backend == vm)
+              Uncount(record, backends);
+          });
+        });
+      });
+    }
+  }
+
   void ResetFlowsOf(VmId vm, TimePoint now, PacketOutput& out) {
     int64_t count = 0;
     for (auto& guarded : this->shards) {
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -74,9 +74,10 @@
     : data_centre(XXH3_64bits(data_centre.data(), data_centre.size())),
       limits(limits) {}
 
-void BackendPool::Sync(const VmList& list,
-                       const Config& config,
-                       TimePoint now) {
+std::vector<VmId> BackendPool::Sync(const VmList& list,
+                                    const Config& config,
+                                    TimePoint now) {
+  std::vector<VmId> restarted;
   for (auto& [vm, member] : this->members) {
     if (member.gone_at == kNever)
       member.gone_at = now;
@@ -86,16 +87,11 @@
       continue;
     const auto [place, is_new] = this->members.try_emplace(vm.id);
     PoolMember& member = place->second;
-    if (!is_new && member.incarnation != vm.incarnation) {
-      this->restarted[member.tag.value] = vm.id;
-      const int flows = member.flows;
-      member = PoolMember{};
-      member.flows = flows;  // Their records still count here.
-    }
-    if (is_new || member.vm == VmId{}) {
+    if (!is_new && member.incarnation != vm.incarnation)
+      restarted.push_back(vm.id);
+    if (member.incarnation != vm.incarnation)
       member.warm_at = now + vm.cold;
-      member.tag = TagOf(vm.id, vm.incarnation);
-    }
+    member.tag = TagOf(vm.id);
     member.vm = vm.id;
     member.incarnation = vm.incarnation;
     member.address = vm.address;
@@ -108,6 +104,7 @@
     member.gone_at = kNever;
   }
   this->Index();
+  return restarted;
 }
 
 void BackendPool::Index() {
@@ -241,11 +238,6 @@
     this->SetReach(member, Reach::kReachable, "flow_answered", out);
 }
 
-bool BackendPool::IsOver(FlowTag tag) const {
-  return this->restarted.contains(tag.value) &&
-         !this->by_tag.contains(tag.value);
-}
-
 void BackendPool::OnAnswer(PoolMember& member, Microseconds time) {
   const double ms = std::chrono::duration<double, std::milli>(time).count();
   member.answer_ms =
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -29,8 +29,11 @@
 /**
  * Backend servers as opaque flows need them.
  *
- * A flow carries the tag of its backend server's start. A start whose tag an
- * older one already has gets no new flows, so a tag names one start only.
+ * A flow carries the tag of its backend server. One whose tag an older one
+ * already has gets no new flows, so a tag names one of them only. The tag does
+ * not tell one start from the next: where the list lags, flows are placed on a
+ * start that it does not name yet, and a start resets the flows that it does
+ * not hold itself.
  */
 class BackendPool {
  public:
@@ -40,17 +43,19 @@
    */
   BackendPool(std::string_view data_centre, const FlowLimits& limits);
 
-  /** Takes over the platform's list; starts that are not in it any more are
-   * kept for the flows that they have. */
-  void Sync(const VmList& list, const Config& config, TimePoint now);
+  /**
+   * Takes over the platform's list; those that are not in it any more are kept
+   * for the flows that they have.
+   * @return Those that have started again, with none of their flows.
+   */
+  std::vector<VmId> Sync(const VmList& list,
+                         const Config& config,
+                         TimePoint now);
 
   /** @return The backend server, null where it is not known. */
   PoolMember* Find(VmId vm);
-  /** @return The one whose start the tag names, null where none is known. */
+  /** @return The one that the tag names, null where none is known. */
   PoolMember* FindTag(FlowTag tag);
-  /** @return Whether the tag is of a start that a later one of the same VM has
-   * replaced. */
-  bool IsOver(FlowTag tag) const;
 
   /**
    * Chooses for a new flow.
@@ -124,8 +129,7 @@
   FlowLimits limits;
   std::map<VmId, PoolMember> members;
   std::unordered_map<uint32_t, VmId> by_tag;
-  std::unordered_map<uint32_t, VmId> restarted;  ///< Tags of earlier starts.
-  std::map<ServiceId, double> near_use;          ///< Busy share of near slots.
+  std::map<ServiceId, double> near_use;  ///< Busy share of near slots.
   TimePoint next_use_at;
   TimePoint late_at;  ///< Last time that this process was held up.
   TimePoint ticked_at;
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -103,7 +103,7 @@
   uint64_t data_centre = 0;  ///< Hash of its name.
   bool near = false;         ///< In this balancer's data centre.
   bool leaving = false;      ///< Takes no new flows.
-  bool shadowed = false;     ///< An older start has the same tag.
+  bool shadowed = false;     ///< An older one has the same tag.
   int64_t slots = 1;
   TimePoint warm_at;           ///< Slow until then.
   TimePoint gone_at = kNever;  ///< When it left the list.
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -357,15 +357,14 @@
   const Result<std::string> text = ReadFile(this->settings_path);
   if (!text) {
     LogLine(Topic::kProcess, Severity::kError,
-            std::string("event=reload_failed reason=") + reason + " code=" +
-                ToString(text.error().code));
+            std::string("event=reload_failed reason=") + reason +
+                " code=" + ToString(text.error().code));
     return;
   }
   if (text.value() == this->settings_text)
     return;
   this->settings_text = text.value();
-  const SettingsCheck check =
-      CheckSettings(this->settings_path, text.value());
+  const SettingsCheck check = CheckSettings(this->settings_path, text.value());
   if (!check.problems.empty()) {
     LogLine(Topic::kProcess, Severity::kError,
             std::string("event=reload_refused reason=") + reason +
@@ -373,8 +372,8 @@
     return;
   }
   for (const Topic topic : kTopics)
-    SetLogLevel(topic, check.settings.log_levels.least.at(
-                           static_cast<size_t>(topic)));
+    SetLogLevel(topic,
+                check.settings.log_levels.least.at(static_cast<size_t>(topic)));
   this->balancer.Tokens().SetFirstPeers(check.settings.first_peers);
   // Addresses and limits are those of the start.
   LogLine(Topic::kProcess, Severity::kInfo,
