--- /dev/null
+++ b/src/bin/cuminvane_emulate.cc
@@ -0,0 +1,84 @@
+/** @file cuminvane_emulate.cc The emulator and experiment tool. */
+
+#include <fstream>
+#include <iostream>
+
+#include "core/ini_func.h"
+#include "emulate/experiment_func.h"
+#include "emulate/report_func.h"
+#include "shell/program_func.h"
+
+namespace cuminvane {
+namespace {
+
+using emulate::Experiment;
+using emulate::RunReport;
+using emulate::Variant;
+
+std::vector<RunReport> RunAll(const Experiment& experiment, int runs) {
+  std::vector<RunReport> reports;
+  for (int run = 0; run < runs; ++run) {
+    Experiment one = experiment;
+    one.seed += static_cast<uint64_t>(run);
+    for (const Variant& variant : one.variants) {
+      emulate::World world(one, variant);
+      reports.push_back(emulate::Summarize(one, variant, world.Run()));
+    }
+  }
+  return reports;
+}
+
+Result<void> Write(const std::string& path, const std::string& text) {
+  std::ofstream file(path, std::ios::binary);
+  if (!(file << text))
+    return Error{ResultCode::kFileUnreadable, path + " can't be written"};
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+ResultCode RunEmulate(const cxxopts::ParseResult& options) {
+  if (options.count("experiment") == 0)
+    return Complain({ResultCode::kUsage, "--experiment is needed; see --help"});
+  const auto path = options["experiment"].as<std::string>();
+  const Result<std::string> text = ReadFile(path);
+  if (!text)
+    return Complain(text.error());
+  emulate::ExperimentCheck check = emulate::CheckExperiment(path, text.value());
+  if (!check.problems.empty()) {
+    std::cerr << FormatProblems(check.problems);
+    return ResultCode::kInvalidDocument;
+  }
+  if (options.count("seed") != 0)
+    check.experiment.seed = options["seed"].as<uint64_t>();
+  const std::vector<RunReport> reports =
+      RunAll(check.experiment, options["runs"].as<int>());
+  std::cout << (options.count("json") != 0 ? emulate::FormatJson(reports)
+                                           : emulate::FormatText(reports));
+  if (options.count("html") != 0) {
+    const Result<void> written =
+        Write(options["html"].as<std::string>(),
+              emulate::FormatHtml(check.experiment, reports));
+    if (!written)
+      return Complain(written.error());
+  }
+  const bool held = std::ranges::all_of(
+      reports, [](const RunReport& report) { return report.breaks.empty(); });
+  return held ? ResultCode::kOk : ResultCode::kTargetsNotMet;
+}
+
+}  // namespace
+}  // namespace cuminvane
+
+int main(int argc, char** argv) {
+  cxxopts::Options options(
+      "cuminvane-emulate",
+      "Runs experiments: balancers' decisions before emulated callers, backend "
+      "servers and faults, in virtual time");
+  options.add_options()("experiment", "Experiment file (INI)",
+                        cxxopts::value<std::string>(), "FILE")(
+      "seed", "First seed", cxxopts::value<uint64_t>(), "N")(
+      "runs", "Runs of each variant, with seeds in a row",
+      cxxopts::value<int>()->default_value("1"),
+      "K")("json", "Print JSON in place of figures")(
+      "html", "Write a page with plots", cxxopts::value<std::string>(), "FILE");
+  return cuminvane::RunProgram(argc, argv, options, cuminvane::RunEmulate);
+}
--- /dev/null
+++ b/src/emulate/experiment_func.cc
@@ -0,0 +1,155 @@
+/** @file experiment_func.cc Reading of experiment files. */
+
+#include "emulate/experiment_func.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/ini_func.h"
+#include "core/schema_func.h"
+#include "table/experiment_table.h"
+
+namespace cuminvane::emulate {
+namespace {
+
+constexpr std::array<const char*, kFaultKinds> kFaultWords = {
+    "balancer_kill", "balancer_stop", "balancer_pause", "power_off",
+    "backend_crash", "backend_dark",  "backend_slow",   "backend_fail",
+    "release",       "centre_cut",    "list_lapse",     "burst"};
+/** Addresses of the kinds of work, one each. */
+constexpr uint32_t kServiceNet = 0xc6120000;
+constexpr uint16_t kServicePort = 443;
+constexpr double kPercent = 100;
+
+Milliseconds ReadMs(const SectionReader& section, std::string_view key) {
+  return Milliseconds(section.Integer(key));
+}
+
+void ReadFleet(const SectionReader& section, Experiment& experiment) {
+  experiment.seed = static_cast<uint64_t>(section.Integer("seed"));
+  experiment.length = ReadMs(section, "length_ms");
+  experiment.data_centres = section.List("data_centres");
+  experiment.balancers = static_cast<int>(section.Integer("balancers"));
+  experiment.near_delay = Microseconds(section.Integer("near_us"));
+  experiment.far_delay = Microseconds(section.Integer("far_us"));
+  experiment.caller_delay = Microseconds(section.Integer("caller_us"));
+  experiment.news = ReadMs(section, "news_ms");
+  experiment.loss = section.Decimal("loss_percent") / kPercent;
+}
+
+ServicePlan ReadService(const SectionReader& section) {
+  return {section.Name(), static_cast<int>(section.Integer("backends")),
+          static_cast<int>(section.Integer("slots")),
+          static_cast<int>(section.Integer("queue")),
+          ReadMs(section, "cold_ms")};
+}
+
+WorkPlan ReadWork(const SectionReader& section, size_t index) {
+  WorkPlan work;
+  work.service = section.Text("service");
+  work.kind.name = section.Name();
+  work.kind.address = {kServiceNet + static_cast<uint32_t>(index + 1),
+                       kServicePort};
+  work.kind.idempotent = section.Boolean("idempotent");
+  work.kind.fresh = section.Boolean("fresh");
+  work.kind.per_s = section.Decimal("per_s");
+  work.kind.users = static_cast<int>(section.Integer("users"));
+  work.kind.work = std::chrono::duration_cast<Microseconds>(
+      std::chrono::duration<double, std::milli>(section.Decimal("work_ms")));
+  work.kind.answer_bytes =
+      static_cast<uint32_t>(section.Integer("answer_bytes"));
+  work.kind.target = ReadMs(section, "target_ms");
+  work.kind.deadline = ReadMs(section, "deadline_ms");
+  work.kind.worth = section.Decimal("worth");
+  work.kind.late_worth = section.Decimal("late_worth");
+  work.kind.retries = static_cast<int>(section.Integer("retries"));
+  return work;
+}
+
+FaultPlan ReadFault(const SectionReader& section) {
+  const auto word = std::ranges::find(kFaultWords, section.Text("kind"));
+  FaultPlan fault;
+  fault.name = section.Name();
+  if (word != kFaultWords.end())
+    fault.kind = static_cast<FaultKind>(word - kFaultWords.begin());
+  fault.at = ReadMs(section, "at_ms");
+  fault.span = ReadMs(section, "for_ms");
+  fault.count = static_cast<int>(section.Integer("count"));
+  fault.factor = section.Decimal("factor");
+  fault.service = section.Text("service");
+  fault.data_centre = section.Text("data_centre");
+  return fault;
+}
+
+Variant ReadVariant(const SectionReader& section) {
+  Variant variant;
+  variant.name = section.Name();
+  variant.flows.check_wait = ReadMs(section, "check_wait_ms");
+  variant.flows.check_pause = ReadMs(section, "check_pause_ms");
+  variant.flows.recheck = ReadMs(section, "recheck_ms");
+  variant.flows.distrust = ReadMs(section, "distrust_ms");
+  variant.flows.vanish_grace = ReadMs(section, "vanish_grace_ms");
+  return variant;
+}
+
+void CheckReferences(const IniDocument& document, ExperimentCheck& check) {
+  const Experiment& experiment = check.experiment;
+  const auto has_service = [&](const std::string& name) {
+    return std::ranges::find(experiment.services, name, &ServicePlan::name) !=
+           experiment.services.end();
+  };
+  for (const WorkPlan& work : experiment.work) {
+    if (!has_service(work.service))
+      check.problems.push_back({document.file, 0, "work " + work.kind.name,
+                                "service", work.service,
+                                "a service of this file"});
+  }
+  for (const FaultPlan& fault : experiment.faults) {
+    if (!fault.service.empty() && !has_service(fault.service))
+      check.problems.push_back({document.file, 0, "fault " + fault.name,
+                                "service", fault.service,
+                                "a service of this file"});
+    if (!fault.data_centre.empty() &&
+        std::ranges::find(experiment.data_centres, fault.data_centre) ==
+            experiment.data_centres.end())
+      check.problems.push_back({document.file, 0, "fault " + fault.name,
+                                "data_centre", fault.data_centre,
+                                "a data centre of this file"});
+  }
+}
+
+}  // namespace
+
+const char* ToString(FaultKind kind) {
+  return kFaultWords.at(static_cast<size_t>(kind));
+}
+
+ExperimentCheck CheckExperiment(const std::string& file,
+                                std::string_view text) {
+  ExperimentCheck check;
+  const IniDocument document = ReadIni(file, text, check.problems);
+  CheckSchema(document, kExperimentSchema, check.problems);
+  Experiment& experiment = check.experiment;
+  experiment.variants.clear();
+  for (const IniSection& raw : document.sections) {
+    const std::string_view kind = SectionKind(raw.name);
+    const SectionReader section(raw, kExperimentSchema);
+    if (kind == "fleet")
+      ReadFleet(section, experiment);
+    if (kind == "service")
+      experiment.services.push_back(ReadService(section));
+    if (kind == "work")
+      experiment.work.push_back(ReadWork(section, experiment.work.size()));
+    if (kind == "fault")
+      experiment.faults.push_back(ReadFault(section));
+    if (kind == "variant")
+      experiment.variants.push_back(ReadVariant(section));
+  }
+  if (experiment.variants.empty())
+    experiment.variants.emplace_back();
+  std::ranges::stable_sort(experiment.faults, {}, &FaultPlan::at);
+  CheckReferences(document, check);
+  return check;
+}
+
+}  // namespace cuminvane::emulate
--- /dev/null
+++ b/src/emulate/experiment_type.h
@@ -0,0 +1,96 @@
+/** @file experiment_type.h An experiment: a fleet, its load, its faults, and
+ * the variants that are compared. */
+
+#ifndef CUMINVANE_EMULATE_EXPERIMENT_TYPE_H_
+#define CUMINVANE_EMULATE_EXPERIMENT_TYPE_H_
+
+#include <string>
+#include <vector>
+
+#include "core/settings_type.h"
+#include "emulate/caller_model.h"
+
+namespace cuminvane::emulate {
+
+/** A service and its backend servers in each data centre. */
+struct ServicePlan {
+  std::string name;
+  int backends = 4;
+  int slots = 2;
+  int queue = 8;
+  Milliseconds cold{2000};
+
+  bool operator==(const ServicePlan&) const = default;
+};
+
+/** A kind of request and the service it goes to. */
+struct WorkPlan {
+  WorkKind kind;
+  std::string service;
+
+  bool operator==(const WorkPlan&) const = default;
+};
+
+enum class FaultKind : uint8_t {
+  kBalancerKill,   ///< A balancer loses everything, and starts again after.
+  kBalancerStop,   ///< A balancer stops as planned, and starts again after.
+  kBalancerPause,  ///< A balancer stands still.
+  kPowerOff,       ///< All balancers at once.
+  kBackendCrash,   ///< Its process ends; its VM refuses packets.
+  kBackendDark,    ///< Its VM is silent.
+  kBackendSlow,    ///< Its work takes `factor` times as long.
+  kBackendFail,    ///< It fails a share `factor` of its requests.
+  kRelease,        ///< Each backend server in turn drains and is replaced.
+  kCentreCut,      ///< A data centre is cut off from the others.
+  kListLapse,      ///< The platform's list loses entries of live servers.
+  kBurst,          ///< `factor` times the load.
+};
+inline constexpr int kFaultKinds = 12;
+
+/** @return The word in experiment files. */
+const char* ToString(FaultKind kind);
+
+/** Something that goes wrong, or is planned. */
+struct FaultPlan {
+  std::string name;
+  FaultKind kind = FaultKind::kBalancerKill;
+  Milliseconds at{0};
+  Milliseconds span{0};
+  int count = 1;  ///< Balancers or backend servers concerned.
+  double factor = 1;
+  std::string service;      ///< Of the backend servers; empty: any.
+  std::string data_centre;  ///< Empty: drawn from the seed.
+
+  bool operator==(const FaultPlan&) const = default;
+};
+
+/** One way of deciding, compared with the others under the same load. */
+struct Variant {
+  std::string name = "present";
+  FlowLimits flows;
+
+  bool operator==(const Variant&) const = default;
+};
+
+/** A whole experiment. */
+struct Experiment {
+  uint64_t seed = 1;
+  Milliseconds length{30000};
+  std::vector<std::string> data_centres{"a", "b", "c"};
+  int balancers = 1;             ///< In each data centre.
+  Microseconds near_delay{100};  ///< One way in a data centre.
+  Microseconds far_delay{500};   ///< One way between data centres.
+  Microseconds caller_delay{2000};
+  Milliseconds news{400};  ///< At most; until a balancer reads a change.
+  double loss = 0;         ///< Share of packets lost.
+  std::vector<ServicePlan> services;
+  std::vector<WorkPlan> work;
+  std::vector<FaultPlan> faults;
+  std::vector<Variant> variants{{}};
+
+  bool operator==(const Experiment&) const = default;
+};
+
+}  // namespace cuminvane::emulate
+
+#endif  // CUMINVANE_EMULATE_EXPERIMENT_TYPE_H_
