A full backend server's new flows wait for the next copy of their opening packet

Now an opening packet is not passed on while its server has two unanswered requests for each slot (flows.open_depth); the caller's copy comes within 200 ms, and the last copy is placed in any case.

--- a/src/core/settings_func.cc
+++ b/src/core/settings_func.cc
@@ -94,7 +94,8 @@
                     ReadMs(section, "check_pause_ms"),
                     ReadMs(section, "recheck_ms"),
                     ReadMs(section, "distrust_ms"),
-                    ReadMs(section, "vanish_grace_ms")};
+                    ReadMs(section, "vanish_grace_ms"),
+                    section.Integer("open_depth")};
 }
 
 /** A balancer serves callers with tokens, opaque flows, or both. */
--- a/src/core/settings_type.h
+++ b/src/core/settings_type.h
@@ -54,6 +54,8 @@
   Milliseconds recheck{500};        ///< Between checks of one out of reach.
   Milliseconds distrust{500};       ///< Without new flows after it is back.
   Milliseconds vanish_grace{2000};  ///< An entry may be back within this.
+  int64_t open_depth = 2;  ///< Unanswered requests for each slot up to which
+                           ///< new flows are opened; 0: no limit.
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/emulate/backend_model.cc
+++ b/src/emulate/backend_model.cc
@@ -3,7 +3,6 @@
 #include "emulate/backend_model.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "packet/packet_func.h"
 
@@ -125,7 +124,7 @@
 void BackendModel::StartJobs(TimePoint now) {
   while (!this->waiting.empty() &&
          static_cast<int>(this->running.size()) < this->options.slots) {
-    Job job = std::move(this->waiting.front());
+    Job job = this->waiting.front();
     this->waiting.pop_front();
     double factor = this->slow;
     if (this->cold_until > now)
@@ -135,7 +134,7 @@
     job.ends_at = now + time;
     this->busy += time;
     this->runs.push_back({job.request.id, now});
-    this->running.push_back(std::move(job));
+    this->running.push_back(job);
   }
 }
 
--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -89,6 +89,7 @@
   variant.flows.recheck = ReadMs(section, "recheck_ms");
   variant.flows.distrust = ReadMs(section, "distrust_ms");
   variant.flows.vanish_grace = ReadMs(section, "vanish_grace_ms");
+  variant.flows.open_depth = section.Integer("open_depth");
   return variant;
 }
 
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -112,8 +112,8 @@
   void Carry(Node& node, PacketOutput& out);
   void StartCheck(Node& node, const ReachCheck& check);
   void SendReset(Node& node, const FlowReset& reset);
-  void FromBackend(Server& server, std::vector<ModelPacket>& out);
-  void FromCallers(size_t centre, std::vector<ModelPacket>& out);
+  void FromBackend(Server& server, std::vector<ModelPacket>& packets);
+  void FromCallers(size_t centre, std::vector<ModelPacket>& packets);
   Node* RouterChoice(size_t centre, const FlowKey& key);
   void PollReadiness();
   bool IsCut(size_t one, size_t other) const;
@@ -135,9 +135,9 @@
   void Replace(Server& server);
   void Release(const FaultPlan& fault);
 
-  void CheckRequests(WorldResult& result) const;
-  void CheckOpens(WorldResult& result) const;
-  void CheckRecovery(WorldResult& result) const;
+  void CheckRequests(WorldResult& outcome) const;
+  void CheckOpens(WorldResult& outcome) const;
+  void CheckRecovery(WorldResult& outcome) const;
 
   Experiment experiment;
   Variant variant;
--- a/src/packet/flow_table_base.h
+++ b/src/packet/flow_table_base.h
@@ -46,10 +46,10 @@
 
   /**
    * Looks at the next places of the table in turn.
-   * @param places How many.
+   * @param count How many.
    * @param use Called with each record there; it may forget it.
    */
-  void Visit(size_t places, const std::function<void(FlowRecord&)>& use);
+  void Visit(size_t count, const std::function<void(FlowRecord&)>& use);
 
   /** @return Number of flows. */
   size_t Size() const { return this->size; }
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -165,6 +165,8 @@
   /** A caller waits 200 ms before it copies its opening packet; an answer takes
    * one round trip. */
   static constexpr Milliseconds kOpenWait{60};
+  /** The last copy of an opening packet is placed in any case. */
+  static constexpr uint32_t kLastCopy = 2;
   /** A caller's last copy of an opening packet comes 600 ms after the first;
    * with the way through the network it is here within this. */
   static constexpr Milliseconds kCopySpan{1500};
@@ -352,6 +354,13 @@
         route.ServiceOf(FlowIdOf(packet.key)), avoided, call.now, call.random);
     if (choice.member == nullptr)
       return Reset("no_backend", packet, VmId{}, call);
+    if (packet.acknowledged < kLastCopy && backends.IsFull(*choice.member)) {
+      Uncount(record, backends);
+      record.backend = VmId{};
+      Log("flow_delayed", "backend_full", packet, choice.member->vm,
+          Severity::kInfo, call);
+      return {};
+    }
     if (record.backend != choice.member->vm)
       Uncount(record, backends);
     Count(record, *choice.member);
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -67,6 +67,16 @@
                     TimePoint now,
                     RandomEngine& random);
 
+  /**
+   * @return Whether so much is unanswered at the backend server that a flow
+   * opened now would only lengthen its queue. The caller's copy of the opening
+   * packet comes soon, when the queue is shorter.
+   */
+  bool IsFull(const PoolMember& member) const {
+    return this->limits.open_depth > 0 &&
+           member.waiting >= this->limits.open_depth * member.slots;
+  }
+
   /** Takes note that a backend server has answered something. */
   void OnAlive(PoolMember& member, TimePoint now, PacketOutput& out);
   /** Takes note of how long an answer took. */
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -96,6 +96,8 @@
            "As flows.distrust_ms."},
     KeyRow{"variant", "vanish_grace_ms", ValueKind::kInteger, "2000", 0, 60000,
            "", "As flows.vanish_grace_ms."},
+    KeyRow{"variant", "open_depth", ValueKind::kInteger, "2", 0, 1000, "",
+           "As flows.open_depth."},
 };
 
 inline constexpr Schema kExperimentSchema{kExperimentSections, kExperimentKeys};
--- a/tests/packet_test.cc
+++ b/tests/packet_test.cc
@@ -36,6 +36,8 @@
     this->settings.data_centre = "a";
     this->settings.peer = *ParseEndpoint("10.0.0.1:1");
     this->settings.packets = *ParseEndpoint("10.0.0.1:2");
+    // Most tests open flows that nobody answers.
+    this->settings.flows.open_depth = 0;
     this->Restart();
     this->Configure(1);
   }
@@ -474,6 +476,27 @@
   CHECK(far > 10);
 }
 
+/** Its two slots are busy and as many requests wait: a new flow comes back with
+ * its copy, and is placed with the last one in any case. */
+TEST(Packets, AFullServerIsOpenedWithTheLastCopy) {
+  World world;
+  world.settings.flows.open_depth = 2;
+  world.Restart();
+  world.Configure(1);
+  world.List({{1}});
+  for (uint32_t caller = 0; caller < 4; ++caller) {
+    const PacketAction opened = world.Establish(World::Key(caller));
+    world.Data(World::Key(caller), opened.tag, 101, 1000, 50);
+  }
+  CHECK(world.Open(World::Key(9)).verdict == PacketVerdict::kDrop);
+  CHECK(world.Open(World::Key(9), 1).verdict == PacketVerdict::kDrop);
+  CHECK(world.Open(World::Key(9), 2).verdict == PacketVerdict::kForward);
+  // An answer makes room.
+  world.Data(World::Key(0), TagOf(VmId{1}), 151, 2000, 0);
+  world.Data(World::Key(1), TagOf(VmId{1}), 151, 2000, 0);
+  CHECK(world.Open(World::Key(10)).verdict == PacketVerdict::kForward);
+}
+
 /** Of two starts with one tag only the older is given flows. */
 TEST(Packets, ATagNamesOneStartOnly) {
   // Found by search: these two ids have the same tag.
