--- a/src/bin/cuminvane_standin.cc
+++ b/src/bin/cuminvane_standin.cc
@@ -17,11 +17,14 @@
     return RunFabric(options);
   if (role == "backend")
     return RunBackend(options);
+  if (role == "flow-backend")
+    return RunFlowBackend(options);
   if (role == "figures")
     return RunFigures(options);
   return Complain(
       {ResultCode::kUsage,
-       "--role takes platform, fabric, backend or figures; see --help"});
+       "--role takes platform, fabric, backend, flow-backend or figures; see "
+       "--help"});
 }
 
 }  // namespace
@@ -32,7 +35,8 @@
   curl_global_init(CURL_GLOBAL_DEFAULT);
   cxxopts::Options options("cuminvane-standin",
                            "Stand-ins for tests and the demo");
-  options.add_options()("role", "platform, fabric, backend or figures",
+  options.add_options()("role",
+                        "platform, fabric, backend, flow-backend or figures",
                         value<std::string>()->default_value(""))(
       "listen", "Address to listen on",
       value<std::string>()->default_value("127.0.0.1:0"),
@@ -49,11 +53,13 @@
       "delay-ms", "Fabric: longest such delay, in milliseconds",
       value<int>()->default_value("20"))("seed", "Fabric: seed of its choices",
                                          value<uint64_t>()->default_value("1"))(
-      "dir", "Platform and figures: directory of the files",
+      "dir", "Platform, flow backend and figures: directory of the files",
       value<std::string>()->default_value("."))(
       "vm", "Backend: its VM", value<uint32_t>()->default_value("1"))(
       "incarnation", "Backend: number of this start",
       value<uint64_t>()->default_value("1"))(
+      "data-centre", "Flow backend: where it is",
+      value<std::string>()->default_value("a"))(
       "serves", "Backend: its service",
       value<std::string>()->default_value(""))(
       "slots", "Backend: requests run at once",
--- a/src/emulate/caller_model.cc
+++ b/src/emulate/caller_model.cc
@@ -14,8 +14,8 @@
     Milliseconds(200), Milliseconds(400), Milliseconds(800)};
 constexpr int kOpenings = 3;
 constexpr uint16_t kFirstPort = 1024;
-/** Requests are told apart by their data centre's part of the number. */
-constexpr int kIdShift = 40;
+/** Requests of callers at different addresses have different numbers. */
+constexpr int kIdShift = 24;
 
 }  // namespace
 
@@ -26,7 +26,7 @@
       kinds(kinds),
       next_ask(kinds.size(), now),
       next_user(kinds.size(), 0),
-      next_id(uint64_t{net & 0xffff0000} << (kIdShift - 16) | 1) {
+      next_id(uint64_t{net} << kIdShift | 1) {
   for (size_t kind = 0; kind < kinds.size(); ++kind) {
     for (int user = 0; user < kinds[kind].users; ++user)
       this->users.push_back({kind, std::nullopt, {}});
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -100,6 +100,13 @@
     this->complete = false;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
+  if (answer.revision < this->revision) {
+    LogWatch(Severity::kError, "event=platform_went_back revision=" +
+                                   std::to_string(this->revision) +
+                                   " found=" + std::to_string(answer.revision));
+    this->complete = false;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
   for (const platform::StoreItem& item : answer.items)
     this->Apply(item);
   this->revision = std::max(this->revision, answer.revision);
--- a/src/standin/platform_role.cc
+++ b/src/standin/platform_role.cc
@@ -19,6 +19,7 @@
 #include "core/endpoint_type.h"
 #include "core/schema_func.h"
 #include "core/time_type.h"
+#include "shell/clock_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
 #include "standin/role_func.h"
@@ -30,6 +31,10 @@
 constexpr int64_t kMostWaitMs = 30000;
 constexpr unsigned kConnectionLimit = 512;
 constexpr size_t kPageItems = 500;
+/** Three beats of a stand-in backend server. */
+constexpr Milliseconds kEntryLife{1200};
+/** Files on their way to be renamed. */
+constexpr const char* kDraft = ".new";
 constexpr const char* kOwnSuffix = ".ini";
 
 /** An item as it was last written, or its removal. */
@@ -106,6 +111,9 @@
       return;
     std::string key =
         std::filesystem::relative(entry.path(), this->directory).string();
+    if (key.ends_with(kDraft) ||
+        (key.starts_with("servers/") && IsSilent(entry)))
+      return;
     const bool own = key == "config.ini" || key == "vms.ini";
     if (!own && key.find('/') == std::string::npos)
       return;
@@ -115,6 +123,14 @@
       files[key] = text.value();
   }
 
+  /** Whether a backend server has not written its entry for too long. */
+  static bool IsSilent(const std::filesystem::directory_entry& entry) {
+    std::error_code failure;
+    const auto written = entry.last_write_time(failure);
+    return !failure &&
+           written + kEntryLife < std::filesystem::file_time_type::clock::now();
+  }
+
   static Json::Value ToJson(const std::string& key, const FileItem& item) {
     Json::Value json;
     json["key"] = key;
@@ -138,7 +154,10 @@
   std::string directory;
   mutable std::mutex mutex;
   std::map<std::string, FileItem> items;
-  uint64_t revision = 1;
+  /** Begins with the time, so that it grows over a restart too. */
+  uint64_t revision = static_cast<uint64_t>(
+      std::chrono::duration_cast<Milliseconds>(ReadClock().time_since_epoch())
+          .count());
 };
 
 /** What request handlers share. */
--- a/src/standin/role_func.h
+++ b/src/standin/role_func.h
@@ -15,6 +15,8 @@
 ResultCode RunFabric(const cxxopts::ParseResult& options);
 /** Is one backend server. */
 ResultCode RunBackend(const cxxopts::ParseResult& options);
+/** Is one backend server of opaque flows. */
+ResultCode RunFlowBackend(const cxxopts::ParseResult& options);
 /** Computes the figures of a demo from the record files. */
 ResultCode RunFigures(const cxxopts::ParseResult& options);
 
