--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -10,10 +10,12 @@
 
 #include "control/control_func.h"
 #include "core/config_func.h"
+#include "core/document_func.h"
 #include "core/ini_func.h"
 #include "core/schema_func.h"
 #include "core/settings_func.h"
 #include "core/vmlist_func.h"
+#include "shell/explain_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
 #include "shell/target_func.h"
@@ -201,6 +203,51 @@
   return ResultCode::kOk;
 }
 
+/** Tells what the logs say of one flow, and why. */
+ResultCode Explain(const std::string& id,
+                   const std::vector<std::string>& files) {
+  std::string log;
+  for (const std::string& file : files) {
+    const Result<std::string> text = ReadFile(file);
+    if (!text)
+      return Complain(text.error());
+    log += text.value();
+  }
+  const Explanation explanation = ExplainFlow(log, id);
+  if (explanation.cause.empty())
+    return Complain({ResultCode::kUnknownFlow, "no log line names " + id});
+  for (const std::string& line : explanation.lines)
+    std::cout << line << "\n";
+  std::cout << "cause: " << explanation.cause << "\n";
+  return ResultCode::kOk;
+}
+
+/** Tells what a change of the configuration changes, section by section. */
+ResultCode Diff(const std::string& old_path, const std::string& new_path) {
+  std::array<SectionTexts, 2> sections;
+  const std::array<std::string, 2> paths = {old_path, new_path};
+  for (size_t side = 0; side < paths.size(); ++side) {
+    const Result<std::string> text = ReadFile(paths[side]);
+    if (!text)
+      return Complain(text.error());
+    const ConfigCheck check = CheckConfig(paths[side], text.value());
+    if (!check.problems.empty()) {
+      std::cerr << FormatProblems(check.problems);
+      return ResultCode::kInvalidDocument;
+    }
+    IniProblems ignored;  // The check has found none.
+    sections[side] = Canonicalize(ReadIni(paths[side], text.value(), ignored));
+  }
+  const DocumentDelta delta = MakeDelta(sections[0], sections[1]);
+  for (const std::string& name : delta.removed)
+    std::cout << "removed [" << name << "]\n";
+  for (const SectionText& section : delta.changed)
+    std::cout << (sections[0].contains(section.name) ? "changed [" : "added [")
+              << section.name << "]\n"
+              << section.body;
+  return ResultCode::kOk;
+}
+
 ResultCode RunCommand(const cxxopts::ParseResult& options) {
   const auto words = options["command"].as<std::vector<std::string>>();
   const std::vector<std::string> balancers =
@@ -216,6 +263,10 @@
     return Targets(balancers, options["times"].as<int>());
   if (verb == "log" && words.size() == 3)
     return SetLevel(balancers, words[1], words[2]);
+  if (verb == "explain" && words.size() >= 3)
+    return Explain(words[1], {words.begin() + 2, words.end()});
+  if (verb == "diff" && words.size() == 3)
+    return Diff(words[1], words[2]);
   if (verb == "reference" && words.size() == 2)
     return Reference(words[1]);
   return Complain({ResultCode::kUsage,
@@ -235,6 +286,8 @@
       "  cuminvanectl targets --balancers A.B.C.D:PORT,...\n"
       "  cuminvanectl watch --balancers A.B.C.D:PORT,... [--times N]\n"
       "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
+      "  cuminvanectl diff OLD NEW\n"
+      "  cuminvanectl explain FLOW|CALLER LOG...\n"
       "  cuminvanectl reference config|settings|vms|codes\n");
   options.add_options()(
       "command", "What to do",
--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -22,6 +22,7 @@
   kPlatformUnreachable = 7,
   kBalancerUnreachable = 8,
   kTargetsNotMet = 9,
+  kUnknownFlow = 10,
   kTruncated = 100,
   kOversized = 101,
   kGarbage = 102,
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -464,7 +464,8 @@
     merged.Merge(worker->Counts());
   return FormatStatus(
       *this->balancer.Tokens().Beliefs(), this->balancer.Tokens().Load(),
-      this->balancer.Tokens().Backends(), merged, this->settings, ReadClock());
+      this->balancer.Tokens().Backends(), this->balancer.Packets().Backends(),
+      merged, this->settings, ReadClock());
 }
 
 ControlReply Daemon::ChangeLogLevel(const std::string& params) {
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -46,6 +46,23 @@
   return list;
 }
 
+Json::Value PoolToJson(const std::map<VmId, PoolMember>& pool, TimePoint now) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& [vm, member] : pool) {
+    Json::Value entry;
+    entry["vm"] = Number(vm.value);
+    entry["reach"] = ToString(member.liveness.reach);
+    entry["leaving"] = member.leaving;
+    entry["listed"] = member.gone_at == kNever;
+    entry["cold"] = member.warm_at > now;
+    entry["flows"] = member.flows;
+    entry["waiting"] = member.waiting;
+    entry["answer_ms"] = member.answer_ms;
+    list.append(entry);
+  }
+  return list;
+}
+
 Json::Value TargetsToJson(const Config& config) {
   Json::Value list(Json::arrayValue);
   for (const WorkClass& work : config.classes) {
@@ -64,6 +81,7 @@
 std::string FormatStatus(const BoardView& board,
                          const NodeLoad& load,
                          const std::map<VmId, BackendState>& backends,
+                         const std::map<VmId, PoolMember>& pool,
                          const Metrics& metrics,
                          const Settings& settings,
                          TimePoint now) {
@@ -82,6 +100,7 @@
   json["unfinished"] = Number(load.unfinished);
   json["members"] = MembersToJson(*board.members.value);
   json["backends"] = BackendsToJson(backends, now);
+  json["opaque_backends"] = PoolToJson(pool, now);
   json["targets"] = TargetsToJson(*board.config.value);
   json["metrics"] = metrics.ToJson(*board.config.value);
   const LogLevels levels = CurrentLogLevels();
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -20,6 +20,7 @@
 std::string FormatStatus(const BoardView& board,
                          const NodeLoad& load,
                          const std::map<VmId, BackendState>& backends,
+                         const std::map<VmId, PoolMember>& pool,
                          const Metrics& metrics,
                          const Settings& settings,
                          TimePoint now);
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -58,6 +58,9 @@
                   "At least one figure or target does not hold.",
                   "Read the lines that say held=no."},
     // Datagrams that are not acted on.
+    ResultCodeRow{ResultCode::kUnknownFlow, "unknown_flow", Outcome::kNone,
+                  "No log line names the flow or caller.",
+                  "Give the logs of all balancers, of the time in question."},
     ResultCodeRow{ResultCode::kTruncated, "truncated", Outcome::kNone,
                   "A datagram ended before its message did.",
                   "Look for a path with a smaller MTU if the count grows."},
--- /dev/null
+++ b/tests/explain_test.cc
@@ -0,0 +1,47 @@
+/** @file explain_test.cc A flow's log lines lead to its cause. */
+
+#include "shell/explain_func.h"
+#include "tests/test_text.h"
+
+using namespace cuminvane;
+
+namespace {
+
+const char* const kLog =
+    "time=2026-01-27T11:43:00.000001Z process=cuminvaned.1 topic=process "
+    "severity=info event=started vm=1\n"
+    "time=2026-01-27T11:43:05.000000Z process=cuminvaned.1 topic=flow "
+    "severity=info event=flow_placed flow=77 vm=9 caller=100.64.0.7:1025 "
+    "service=198.18.0.1:443 reason=near\n"
+    "time=2026-01-27T11:43:06.500000Z process=cuminvaned.2 topic=config "
+    "severity=warning event=platform_lost code=platform_unreachable\n"
+    "time=2026-01-27T11:43:07.546144Z process=cuminvaned.1 topic=reach "
+    "severity=warning event=unreachable vm=9 flows=28 age_ms=117 "
+    "reason=check_silent\n"
+    "time=2026-01-27T11:43:07.546158Z process=cuminvaned.1 topic=flow "
+    "severity=warning event=flows_reset vm=9 flows=22 reason=backend_lost\n"
+    "time=2026-01-27T11:43:08.000000Z process=cuminvaned.1 topic=flow "
+    "severity=info event=flow_placed flow=78 vm=10 caller=100.64.0.7:1026 "
+    "service=198.18.0.1:443 reason=near\n";
+
+}  // namespace
+
+TEST_GROUP(Explained){};
+
+TEST(Explained, AResetFlowLeadsToItsLostServer) {
+  for (const char* const id : {"77", "100.64.0.7:1025"}) {
+    const Explanation explanation = ExplainFlow(kLog, id);
+    LONGS_EQUAL(3, explanation.lines.size());
+    CHECK_CONTAINS("was lost", explanation.cause);
+  }
+}
+
+TEST(Explained, AFlowThatWasCarriedSaysSo) {
+  const Explanation explanation = ExplainFlow(kLog, "78");
+  LONGS_EQUAL(1, explanation.lines.size());
+  CHECK_CONTAINS("nothing went wrong", explanation.cause);
+}
+
+TEST(Explained, AnUnknownFlowHasNoExplanation) {
+  STRCMP_EQUAL("", ExplainFlow(kLog, "79").cause.c_str());
+}
