--- a/src/core/control_base.h
+++ b/src/core/control_base.h
@@ -331,7 +331,9 @@
     });
     const auto view = this->board.Read();
     this->members.With([&](MemberTable& table) {
-      table.Propose(*view->vms.value, now);
+      if (this->proposed != view->vms.value)
+        table.Propose(*view->vms.value, now);
+      this->proposed = view->vms.value;
       table.SetVersions(versions, NewestKey(*view->config.value));
     });
     this->PublishMembers(now);
@@ -448,7 +450,8 @@
   Guarded<std::vector<Endpoint>, Mutex> first_peers;
   Guarded<DocumentStore<ConfigDocument>, Mutex> config;
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
-  uint64_t published_changes = 0;  ///< Under the lock of `members`.
+  uint64_t published_changes = 0;          ///< Under the lock of `members`.
+  std::shared_ptr<const VmList> proposed;  ///< Under the lock of `members`.
   std::atomic<bool> documents_changed = true;
   TimePoint
       next_first_ping;  ///< Only the thread that calls Tick touches these.
--- a/src/core/member_base.h
+++ b/src/core/member_base.h
@@ -18,15 +18,6 @@
 
 namespace cuminvane {
 
-/** What peers said of their documents, for the controller that fetches newer
- * ones. */
-struct PeerVersions {
-  Endpoint peer;
-  DocumentVersions versions;
-
-  bool operator==(const PeerVersions&) const = default;
-};
-
 /**
  * Who of the fleet's balancers is there.
  *
--- a/src/core/placement_type.h
+++ b/src/core/placement_type.h
@@ -88,15 +88,6 @@
   }
 };
 
-/** Takes any. */
-struct UniformRandom {
-  /** @return Index of the choice; there must be a candidate. */
-  static size_t Pick(std::span<BackendState* const> candidates,
-                     RandomEngine& random) {
-    return DrawIndex(random, candidates.size());
-  }
-};
-
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_CORE_PLACEMENT_TYPE_H_
--- a/src/packet/flow_type.h
+++ b/src/packet/flow_type.h
@@ -19,7 +19,6 @@
   uint32_t acknowledged = 0;      ///< Of the backend server's data.
   bool established = false;  ///< A packet other than an opening one has passed.
   bool counted = false;      ///< Counts among the backend server's flows.
-  bool checked = false;      ///< Its unanswered packet has raised a suspicion.
   TimePoint seen_at;         ///< Last packet; the end of time for a free place.
   TimePoint opened_at;       ///< First packet seen here.
   TimePoint waiting_since = kNever;  ///< First send of what is unanswered.
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -297,6 +297,8 @@
     liveness.next_check_at = now + this->limits.recheck;
     return false;
   }
+  if (liveness.reach == Reach::kReachable)
+    return false;  // An answer on one of its flows came first.
   const bool contradicted = liveness.alive_at > liveness.suspected_at;
   const bool doubtful =
       result == CheckResult::kSilent && this->late_at >= liveness.suspected_at;
