JSON that the library throws at is ignored like any other that can't be read

Found by the fuzz target after three minutes: an entry of 1,000 open brackets made the JSON library throw, which would have ended every balancer at once. Also thrown at: limits that are no object, splits of another type.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -184,6 +184,29 @@
   }
 }
 
+/** Found by fuzzing: the JSON library throws where a text is nested too deep or
+ * a value is of another type than asked for. */
+TEST(Platform, JsonThatTheLibraryThrowsAtIsOnlyIgnored) {
+  const std::string deep(3000, '[');
+  LONGS_EQUAL(
+      1, platform::TranslateVmList({{"servers/i-1", deep}}, 1).problems.size());
+  STRCMP_EQUAL("",
+               platform::TranslateConfig({{"op/config", deep}}).text.c_str());
+  CHECK_CODE(ResultCode::kGarbage, platform::ReadAnswer(deep).error().code);
+  for (
+      const char* const route :
+      {R"({"name":"r","hostname":"198.18.0.1","prefix":"/1/","service":"s","traffic_split":{"a":1}})",
+       R"({"name":"r","hostname":"198.18.0.1","prefix":"/1/","service":"s","traffic_split":[7]})",
+       R"({"name":"r","hostname":"198.18.0.1","prefix":"/1/","service":"s","timeout_ms":"x"})",
+       "7"}) {
+    const platform::Translation translation = platform::TranslateConfig(
+        {{"op/config",
+          std::string(R"({"version":1,"services":[{"name":"s"}],)") +
+              R"("limits":[1],"routes":[)" + route + "]}"}});
+    LONGS_EQUAL(1, translation.problems.size());
+  }
+}
+
 TEST(Platform, EntriesBecomeTheListOfVms) {
   const platform::Translation translation = platform::TranslateVmList(
       {{"op/config", "{}"},
