The stand-in store bears files that go while it looks

Cause: std::filesystem::relative reads the file system, and an entry's draft was renamed between the listing and the call. The path is taken apart as text now, and a listing that fails is tried again.

--- a/src/standin/platform_role.cc
+++ b/src/standin/platform_role.cc
@@ -56,9 +56,15 @@
     const std::lock_guard hold(this->mutex);
     std::map<std::string, std::string> files;
     std::error_code failure;
-    for (const auto& entry : std::filesystem::recursive_directory_iterator(
-             this->directory, failure))
-      this->ReadEntry(entry, files);
+    std::filesystem::recursive_directory_iterator entry(this->directory,
+                                                        failure);
+    // Files come and go meanwhile; what is gone is seen the next time.
+    while (!failure && entry != std::filesystem::end(entry)) {
+      this->ReadEntry(*entry, files);
+      entry.increment(failure);
+    }
+    if (failure)
+      return;
     for (auto& [key, item] : this->items) {
       if (!item.removed && !files.contains(key))
         item = {"", ++this->revision, true};
@@ -107,10 +113,10 @@
    * records and settings of a run are not. */
   void ReadEntry(const std::filesystem::directory_entry& entry,
                  std::map<std::string, std::string>& files) const {
-    if (!entry.is_regular_file())
+    std::error_code failure;
+    if (!entry.is_regular_file(failure))
       return;
-    std::string key =
-        std::filesystem::relative(entry.path(), this->directory).string();
+    std::string key = entry.path().lexically_relative(this->directory).string();
     if (key.ends_with(kDraft) ||
         (key.starts_with("servers/") && IsSilent(entry)))
       return;
