One hash of a data centre's name; packets that the socket did not take are counted

The hash stood three times. PacketLane::Flush tells what was not sent, and both of its callers threw that away; now one flush, before the log lines, counts it in cuminvane_unsent_total{lane="packets"}. No decision changes.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -120,8 +120,7 @@
 
   /** @return Live balancers of this data centre, with this one. */
   int NearBalancers(const BoardView& view) const {
-    const uint64_t centre =
-        MakeMember({}, {}, this->settings.data_centre).data_centre;
+    const uint64_t centre = DataCentreIdOf(this->settings.data_centre);
     return 1 +
            static_cast<int>(std::ranges::count_if(
                view.members.value->members, [centre](const MemberInfo& member) {
--- a/src/core/member_base.cc
+++ b/src/core/member_base.cc
@@ -68,13 +68,17 @@
   return kWords.at(static_cast<size_t>(state));
 }
 
+uint64_t DataCentreIdOf(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
 MemberInfo MakeMember(const Holder& id,
                       const Endpoint& peer,
                       std::string_view data_centre) {
   MemberInfo member;
   member.id = id;
   member.peer = peer;
-  member.data_centre = XXH3_64bits(data_centre.data(), data_centre.size());
+  member.data_centre = DataCentreIdOf(data_centre);
   return member;
 }
 
--- a/src/core/member_type.h
+++ b/src/core/member_type.h
@@ -56,6 +56,9 @@
   }
 };
 
+/** @return The number by which a data centre is compared. */
+uint64_t DataCentreIdOf(std::string_view name);
+
 /** @return What a live member says of itself at first. */
 MemberInfo MakeMember(const Holder& id,
                       const Endpoint& peer,
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -2,12 +2,11 @@
 
 #include "packet/pool_base.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 
 #include "core/config_func.h"
+#include "core/member_type.h"
 #include "packet/packet_func.h"
 
 namespace cuminvane {
@@ -71,8 +70,7 @@
 }
 
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
-    : data_centre(XXH3_64bits(data_centre.data(), data_centre.size())),
-      limits(limits) {}
+    : data_centre(DataCentreIdOf(data_centre)), limits(limits) {}
 
 std::vector<VmId> BackendPool::Sync(const VmList& list,
                                     const Config& config,
@@ -96,8 +94,7 @@
     member.incarnation = vm.incarnation;
     member.address = vm.address;
     member.service = vm.service;
-    member.data_centre =
-        XXH3_64bits(vm.data_centre.data(), vm.data_centre.size());
+    member.data_centre = DataCentreIdOf(vm.data_centre);
     member.near = member.data_centre == this->data_centre;
     member.leaving = vm.leaving || FindChange(config, vm, now) != nullptr;
     member.slots = std::max<int64_t>(1, vm.slots);
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -87,6 +87,11 @@
 }
 
 void Worker::Carry(TimePoint now, PacketOutput& output) {
+  // Packets go before log lines.
+  for (const FlowReset& reset : output.resets)
+    this->SendReset(reset);
+  this->metrics.CountUnsentPackets(
+      this->packet_lane.Flush(this->packet_socket.native_handle()));
   for (const Datagram& datagram : output.common.datagrams) {
     if (!SendTo(this->SocketOf(datagram.lane), datagram.to, datagram.bytes))
       this->metrics.CountUnsent(datagram.lane);
@@ -94,9 +99,6 @@
   for (const Decision& decision : output.common.decisions)
     LogDecision(now, decision);
   this->metrics.Count(output.common);
-  for (const FlowReset& reset : output.resets)
-    this->SendReset(reset);
-  this->packet_lane.Flush(this->packet_socket.native_handle());
   for (const ReachCheck& check : output.checks) {
     StartCheck(this->context, check, now,
                [self = this->shared_from_this()](VmId vm, CheckResult result) {
@@ -177,7 +179,6 @@
     this->last_packet_at = now;
     for (size_t index = 0; index < count; ++index)
       this->HandlePacket(index, now);
-    this->packet_lane.Flush(socket);
     this->Carry(now, this->out);
     if (count < kBatch)
       return;
--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -117,8 +117,16 @@
   ++this->TrafficOf(lane).unsent;
 }
 
+void Metrics::CountUnsentPackets(size_t count) {
+  if (count == 0)
+    return;
+  const std::lock_guard hold(this->mutex);
+  this->unsent_packets += count;
+}
+
 void Metrics::Merge(const Metrics& other) {
   const std::scoped_lock hold(this->mutex, other.mutex);
+  this->unsent_packets += other.unsent_packets;
   for (const auto& [key, count] : other.events)
     this->events[key] += count;
   for (size_t lane = 0; lane < kLanes; ++lane) {
@@ -182,6 +190,8 @@
         << "\n"
         << "cuminvane_unsent_total" << labels << traffic.unsent << "\n";
   }
+  out << "cuminvane_unsent_total{lane=\"packets\"} " << this->unsent_packets
+      << "\n";
   for (const auto& entry : this->classes) {
     const WorkClass* const work = FindClass(config, entry.first);
     const std::string name =
--- a/src/shell/metrics_base.h
+++ b/src/shell/metrics_base.h
@@ -65,6 +65,9 @@
   /** Counts a datagram that the socket did not take. */
   void CountUnsent(Lane lane);
 
+  /** Counts packets of opaque flows that the socket did not take. */
+  void CountUnsentPackets(size_t count);
+
   /** Adds another's counts to this one's. */
   void Merge(const Metrics& other);
 
@@ -82,6 +85,7 @@
   mutable std::mutex mutex;
   std::array<LaneTraffic, kLanes> traffic;
   std::map<ClassId, ClassMetrics> classes;
+  uint64_t unsent_packets = 0;
 };
 
 }  // namespace cuminvane
