--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -7,9 +7,9 @@
 #include <algorithm>
 #include <string_view>
 
-#include "core/drop_func.h"
-#include "core/node_base.h"
+#include "decision/drop_func.h"
 #include "packet/plane_base.h"
+#include "request/node_base.h"
 
 namespace cuminvane {
 
--- a/src/core/budget_base.h
+++ b/src/base/budget_base.h
@@ -1,8 +1,8 @@
 /** @file budget_base.h Retry budget: retries stay a bounded share of the
  * requests, also when everything fails. */
 
-#ifndef CUMINVANE_CORE_BUDGET_BASE_H_
-#define CUMINVANE_CORE_BUDGET_BASE_H_
+#ifndef CUMINVANE_BASE_BUDGET_BASE_H_
+#define CUMINVANE_BASE_BUDGET_BASE_H_
 
 #include <algorithm>
 
@@ -37,4 +37,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_BUDGET_BASE_H_
+#endif  // CUMINVANE_BASE_BUDGET_BASE_H_
--- a/src/core/endpoint_type.cc
+++ b/src/base/endpoint_type.cc
@@ -1,6 +1,6 @@
 /** @file endpoint_type.cc Text form of endpoints. */
 
-#include "core/endpoint_type.h"
+#include "base/endpoint_type.h"
 
 #include <asio/ip/address_v4.hpp>
 #include <charconv>
--- a/src/core/endpoint_type.h
+++ b/src/base/endpoint_type.h
@@ -1,7 +1,7 @@
 /** @file endpoint_type.h An IPv4 address with a port, and its text form. */
 
-#ifndef CUMINVANE_CORE_ENDPOINT_TYPE_H_
-#define CUMINVANE_CORE_ENDPOINT_TYPE_H_
+#ifndef CUMINVANE_BASE_ENDPOINT_TYPE_H_
+#define CUMINVANE_BASE_ENDPOINT_TYPE_H_
 
 #include <compare>
 #include <cstdint>
@@ -43,4 +43,4 @@
   }
 };
 
-#endif  // CUMINVANE_CORE_ENDPOINT_TYPE_H_
+#endif  // CUMINVANE_BASE_ENDPOINT_TYPE_H_
--- a/src/core/guarded_type.h
+++ b/src/base/guarded_type.h
@@ -1,8 +1,8 @@
 /** @file guarded_type.h A value behind its own lock; the kind of lock is the
  * user's choice. */
 
-#ifndef CUMINVANE_CORE_GUARDED_TYPE_H_
-#define CUMINVANE_CORE_GUARDED_TYPE_H_
+#ifndef CUMINVANE_BASE_GUARDED_TYPE_H_
+#define CUMINVANE_BASE_GUARDED_TYPE_H_
 
 #include <utility>
 
@@ -67,4 +67,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_GUARDED_TYPE_H_
+#endif  // CUMINVANE_BASE_GUARDED_TYPE_H_
--- a/src/core/ids_type.h
+++ b/src/base/ids_type.h
@@ -1,8 +1,8 @@
 /** @file ids_type.h Strong types for every identifier, so that none is passed
  * for another. */
 
-#ifndef CUMINVANE_CORE_IDS_TYPE_H_
-#define CUMINVANE_CORE_IDS_TYPE_H_
+#ifndef CUMINVANE_BASE_IDS_TYPE_H_
+#define CUMINVANE_BASE_IDS_TYPE_H_
 
 #include <compare>
 #include <cstddef>
@@ -63,4 +63,4 @@
   }
 };
 
-#endif  // CUMINVANE_CORE_IDS_TYPE_H_
+#endif  // CUMINVANE_BASE_IDS_TYPE_H_
--- a/src/core/ini_func.cc
+++ b/src/base/ini_func.cc
@@ -1,7 +1,7 @@
 /** @file ini_func.cc INI reading through inih, which is fed line by line so
  * that each entry knows its line. */
 
-#include "core/ini_func.h"
+#include "base/ini_func.h"
 
 #include <ini.h>
 
--- a/src/core/ini_func.h
+++ b/src/base/ini_func.h
@@ -1,13 +1,13 @@
 /** @file ini_func.h Reads INI text into a document and formats what is wrong
  * with one. */
 
-#ifndef CUMINVANE_CORE_INI_FUNC_H_
-#define CUMINVANE_CORE_INI_FUNC_H_
+#ifndef CUMINVANE_BASE_INI_FUNC_H_
+#define CUMINVANE_BASE_INI_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/ini_type.h"
+#include "base/ini_type.h"
 
 namespace cuminvane {
 
@@ -31,4 +31,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_INI_FUNC_H_
+#endif  // CUMINVANE_BASE_INI_FUNC_H_
--- a/src/core/ini_type.h
+++ b/src/base/ini_type.h
@@ -1,8 +1,8 @@
 /** @file ini_type.h An INI document as read: sections of entries, each with its
  * line. */
 
-#ifndef CUMINVANE_CORE_INI_TYPE_H_
-#define CUMINVANE_CORE_INI_TYPE_H_
+#ifndef CUMINVANE_BASE_INI_TYPE_H_
+#define CUMINVANE_BASE_INI_TYPE_H_
 
 #include <string>
 #include <vector>
@@ -53,4 +53,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_INI_TYPE_H_
+#endif  // CUMINVANE_BASE_INI_TYPE_H_
--- a/src/core/random_type.h
+++ b/src/base/random_type.h
@@ -1,7 +1,7 @@
 /** @file random_type.h The random engine that is handed into the core. */
 
-#ifndef CUMINVANE_CORE_RANDOM_TYPE_H_
-#define CUMINVANE_CORE_RANDOM_TYPE_H_
+#ifndef CUMINVANE_BASE_RANDOM_TYPE_H_
+#define CUMINVANE_BASE_RANDOM_TYPE_H_
 
 #include <cstdint>
 #include <random>
@@ -29,4 +29,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_RANDOM_TYPE_H_
+#endif  // CUMINVANE_BASE_RANDOM_TYPE_H_
--- a/src/core/rendezvous_func.h
+++ b/src/base/rendezvous_func.h
@@ -1,8 +1,8 @@
 /** @file rendezvous_func.h Rendezvous hashing: every process ranks the same
  * candidates in the same order. */
 
-#ifndef CUMINVANE_CORE_RENDEZVOUS_FUNC_H_
-#define CUMINVANE_CORE_RENDEZVOUS_FUNC_H_
+#ifndef CUMINVANE_BASE_RENDEZVOUS_FUNC_H_
+#define CUMINVANE_BASE_RENDEZVOUS_FUNC_H_
 
 #include <xxhash.h>
 
@@ -23,4 +23,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_RENDEZVOUS_FUNC_H_
+#endif  // CUMINVANE_BASE_RENDEZVOUS_FUNC_H_
--- a/src/table/result_codes.h
+++ b/src/base/result_table.h
@@ -1,12 +1,12 @@
-/** @file result_codes.h The table of numbered result codes: what each means and
+/** @file result_table.h The table of numbered result codes: what each means and
  * what to do. */
 
-#ifndef CUMINVANE_TABLE_RESULT_CODES_H_
-#define CUMINVANE_TABLE_RESULT_CODES_H_
+#ifndef CUMINVANE_BASE_RESULT_TABLE_H_
+#define CUMINVANE_BASE_RESULT_TABLE_H_
 
 #include <array>
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 namespace cuminvane {
 
@@ -167,4 +167,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_TABLE_RESULT_CODES_H_
+#endif  // CUMINVANE_BASE_RESULT_TABLE_H_
--- a/src/core/result_type.cc
+++ b/src/base/result_type.cc
@@ -1,10 +1,10 @@
 /** @file result_type.cc Look-ups in the table of result codes. */
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 #include <algorithm>
 
-#include "table/result_codes.h"
+#include "base/result_table.h"
 
 namespace cuminvane {
 namespace {
--- a/src/core/result_type.h
+++ b/src/base/result_type.h
@@ -1,8 +1,8 @@
 /** @file result_type.h Numbered result codes, and results that carry a value or
  * an error. */
 
-#ifndef CUMINVANE_CORE_RESULT_TYPE_H_
-#define CUMINVANE_CORE_RESULT_TYPE_H_
+#ifndef CUMINVANE_BASE_RESULT_TYPE_H_
+#define CUMINVANE_BASE_RESULT_TYPE_H_
 
 #include <boost/outcome.hpp>
 #include <cstdint>
@@ -11,7 +11,7 @@
 namespace cuminvane {
 
 /** Every way something can end; numbers never change meaning. The table is in
- * table/result_codes.h. */
+ * base/result_table.h. */
 enum class ResultCode : uint16_t {
   kOk = 0,
   kUsage = 2,
@@ -93,4 +93,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_RESULT_TYPE_H_
+#endif  // CUMINVANE_BASE_RESULT_TYPE_H_
--- a/src/core/schema_func.cc
+++ b/src/base/schema_func.cc
@@ -1,6 +1,6 @@
 /** @file schema_func.cc Checks documents against schemas. */
 
-#include "core/schema_func.h"
+#include "base/schema_func.h"
 
 #include <sodium.h>
 
--- a/src/core/schema_func.h
+++ b/src/base/schema_func.h
@@ -1,8 +1,8 @@
 /** @file schema_func.h Checks a document against a schema and reads values that
  * have passed the check. */
 
-#ifndef CUMINVANE_CORE_SCHEMA_FUNC_H_
-#define CUMINVANE_CORE_SCHEMA_FUNC_H_
+#ifndef CUMINVANE_BASE_SCHEMA_FUNC_H_
+#define CUMINVANE_BASE_SCHEMA_FUNC_H_
 
 #include <charconv>
 #include <optional>
@@ -10,10 +10,10 @@
 #include <string_view>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ini_type.h"
-#include "core/schema_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ini_type.h"
+#include "base/schema_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -110,4 +110,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_SCHEMA_FUNC_H_
+#endif  // CUMINVANE_BASE_SCHEMA_FUNC_H_
--- a/src/core/schema_type.h
+++ b/src/base/schema_type.h
@@ -1,8 +1,8 @@
 /** @file schema_type.h How a table describes the sections and keys that a
  * document may have. */
 
-#ifndef CUMINVANE_CORE_SCHEMA_TYPE_H_
-#define CUMINVANE_CORE_SCHEMA_TYPE_H_
+#ifndef CUMINVANE_BASE_SCHEMA_TYPE_H_
+#define CUMINVANE_BASE_SCHEMA_TYPE_H_
 
 #include <cstdint>
 #include <limits>
@@ -53,4 +53,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_SCHEMA_TYPE_H_
+#endif  // CUMINVANE_BASE_SCHEMA_TYPE_H_
--- a/src/core/time_type.h
+++ b/src/base/time_type.h
@@ -1,8 +1,8 @@
 /** @file time_type.h Points in time and spans; the core never reads a clock, it
  * is handed these. */
 
-#ifndef CUMINVANE_CORE_TIME_TYPE_H_
-#define CUMINVANE_CORE_TIME_TYPE_H_
+#ifndef CUMINVANE_BASE_TIME_TYPE_H_
+#define CUMINVANE_BASE_TIME_TYPE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -38,4 +38,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_TIME_TYPE_H_
+#endif  // CUMINVANE_BASE_TIME_TYPE_H_
--- a/src/bin/cuminvane_call.cc
+++ b/src/bin/cuminvane_call.cc
@@ -3,8 +3,8 @@
 
 #include <iostream>
 
-#include "shell/load_base.h"
 #include "shell/program_func.h"
+#include "standin/load_role.h"
 
 namespace cuminvane {
 namespace {
--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -8,19 +8,19 @@
 #include <sstream>
 #include <thread>
 
+#include "base/ini_func.h"
+#include "base/result_table.h"
+#include "base/schema_func.h"
 #include "control/control_func.h"
-#include "core/config_func.h"
-#include "core/document_func.h"
-#include "core/ini_func.h"
-#include "core/schema_func.h"
-#include "core/settings_func.h"
-#include "core/vmlist_func.h"
+#include "document/config_func.h"
+#include "document/document_func.h"
+#include "document/settings_func.h"
+#include "document/vmlist_func.h"
 #include "shell/explain_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
 #include "shell/target_func.h"
 #include "table/config_table.h"
-#include "table/result_codes.h"
 #include "table/settings_table.h"
 #include "table/vmlist_table.h"
 
--- a/src/bin/cuminvaned.cc
+++ b/src/bin/cuminvaned.cc
@@ -4,8 +4,8 @@
 
 #include <iostream>
 
-#include "core/ini_func.h"
-#include "core/settings_func.h"
+#include "base/ini_func.h"
+#include "document/settings_func.h"
 #include "shell/clock_func.h"
 #include "shell/daemon_base.h"
 #include "shell/log_func.h"
--- a/src/core/caller_base.cc
+++ b/src/caller/caller_base.cc
@@ -1,6 +1,6 @@
 /** @file caller_base.cc The caller's side of the protocol. */
 
-#include "core/caller_base.h"
+#include "caller/caller_base.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/caller_base.h
+++ b/src/caller/caller_base.h
@@ -1,8 +1,8 @@
 /** @file caller_base.h The caller's side of the protocol: opens flows, sends
  * requests, puts answers together. */
 
-#ifndef CUMINVANE_CORE_CALLER_BASE_H_
-#define CUMINVANE_CORE_CALLER_BASE_H_
+#ifndef CUMINVANE_CALLER_CALLER_BASE_H_
+#define CUMINVANE_CALLER_CALLER_BASE_H_
 
 #include <map>
 #include <string>
@@ -10,9 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/caller_type.h"
-#include "core/message_func.h"
-#include "core/random_type.h"
+#include "base/random_type.h"
+#include "caller/caller_type.h"
+#include "message/message_func.h"
 
 namespace cuminvane {
 
@@ -228,4 +228,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_CALLER_BASE_H_
+#endif  // CUMINVANE_CALLER_CALLER_BASE_H_
--- a/src/core/caller_type.h
+++ b/src/caller/caller_type.h
@@ -1,15 +1,15 @@
 /** @file caller_type.h What a caller asks for and what it gets back. */
 
-#ifndef CUMINVANE_CORE_CALLER_TYPE_H_
-#define CUMINVANE_CORE_CALLER_TYPE_H_
+#ifndef CUMINVANE_CALLER_CALLER_TYPE_H_
+#define CUMINVANE_CALLER_CALLER_TYPE_H_
 
 #include <string>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/result_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/result_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -58,4 +58,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_CALLER_TYPE_H_
+#endif  // CUMINVANE_CALLER_CALLER_TYPE_H_
--- a/src/core/decision_func.cc
+++ b/src/decision/decision_func.cc
@@ -1,6 +1,6 @@
 /** @file decision_func.cc Formatting of decisions. */
 
-#include "core/decision_func.h"
+#include "decision/decision_func.h"
 
 #include <algorithm>
 
--- a/src/core/decision_func.h
+++ b/src/decision/decision_func.h
@@ -1,13 +1,13 @@
 /** @file decision_func.h Text forms of decisions, topics and severities. */
 
-#ifndef CUMINVANE_CORE_DECISION_FUNC_H_
-#define CUMINVANE_CORE_DECISION_FUNC_H_
+#ifndef CUMINVANE_DECISION_DECISION_FUNC_H_
+#define CUMINVANE_DECISION_DECISION_FUNC_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "core/decision_type.h"
+#include "decision/decision_type.h"
 
 namespace cuminvane {
 
@@ -28,4 +28,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DECISION_FUNC_H_
+#endif  // CUMINVANE_DECISION_DECISION_FUNC_H_
--- a/src/core/decision_type.h
+++ b/src/decision/decision_type.h
@@ -1,16 +1,16 @@
 /** @file decision_type.h What the core wants logged: one value for each
  * decision, formatted by the shell. */
 
-#ifndef CUMINVANE_CORE_DECISION_TYPE_H_
-#define CUMINVANE_CORE_DECISION_TYPE_H_
+#ifndef CUMINVANE_DECISION_DECISION_TYPE_H_
+#define CUMINVANE_DECISION_DECISION_TYPE_H_
 
 #include <array>
 #include <cstdint>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/result_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/result_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -62,4 +62,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DECISION_TYPE_H_
+#endif  // CUMINVANE_DECISION_DECISION_TYPE_H_
--- a/src/core/drop_func.h
+++ b/src/decision/drop_func.h
@@ -1,9 +1,9 @@
 /** @file drop_func.h Notes datagrams that are not acted on. */
 
-#ifndef CUMINVANE_CORE_DROP_FUNC_H_
-#define CUMINVANE_CORE_DROP_FUNC_H_
+#ifndef CUMINVANE_DECISION_DROP_FUNC_H_
+#define CUMINVANE_DECISION_DROP_FUNC_H_
 
-#include "core/output_type.h"
+#include "decision/output_type.h"
 
 namespace cuminvane {
 
@@ -25,4 +25,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DROP_FUNC_H_
+#endif  // CUMINVANE_DECISION_DROP_FUNC_H_
--- a/src/core/output_type.h
+++ b/src/decision/output_type.h
@@ -1,15 +1,15 @@
 /** @file output_type.h What a decision sends and logs; the shell carries it out
  * and keeps the buffers. */
 
-#ifndef CUMINVANE_CORE_OUTPUT_TYPE_H_
-#define CUMINVANE_CORE_OUTPUT_TYPE_H_
+#ifndef CUMINVANE_DECISION_OUTPUT_TYPE_H_
+#define CUMINVANE_DECISION_OUTPUT_TYPE_H_
 
 #include <string>
 #include <vector>
 
-#include "core/decision_type.h"
-#include "core/endpoint_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/time_type.h"
+#include "decision/decision_type.h"
 
 namespace cuminvane {
 
@@ -51,4 +51,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_OUTPUT_TYPE_H_
+#endif  // CUMINVANE_DECISION_OUTPUT_TYPE_H_
--- a/src/core/config_func.cc
+++ b/src/document/config_func.cc
@@ -1,15 +1,15 @@
 /** @file config_func.cc Checking and parsing of the operators' configuration.
  */
 
-#include "core/config_func.h"
+#include "document/config_func.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <set>
 
-#include "core/ini_func.h"
-#include "core/schema_func.h"
+#include "base/ini_func.h"
+#include "base/schema_func.h"
 #include "table/config_table.h"
 
 namespace cuminvane {
--- a/src/core/config_func.h
+++ b/src/document/config_func.h
@@ -1,16 +1,16 @@
 /** @file config_func.h Parses the operators' configuration and answers
  * questions about it. */
 
-#ifndef CUMINVANE_CORE_CONFIG_FUNC_H_
-#define CUMINVANE_CORE_CONFIG_FUNC_H_
+#ifndef CUMINVANE_DOCUMENT_CONFIG_FUNC_H_
+#define CUMINVANE_DOCUMENT_CONFIG_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/config_type.h"
-#include "core/ini_type.h"
-#include "core/result_type.h"
-#include "core/vmlist_type.h"
+#include "base/ini_type.h"
+#include "base/result_type.h"
+#include "document/config_type.h"
+#include "document/vmlist_type.h"
 
 namespace cuminvane {
 
@@ -61,4 +61,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_CONFIG_FUNC_H_
+#endif  // CUMINVANE_DOCUMENT_CONFIG_FUNC_H_
--- a/src/core/config_type.h
+++ b/src/document/config_type.h
@@ -1,17 +1,17 @@
 /** @file config_type.h The operators' configuration as values: services,
  * classes, changes, keys. */
 
-#ifndef CUMINVANE_CORE_CONFIG_TYPE_H_
-#define CUMINVANE_CORE_CONFIG_TYPE_H_
+#ifndef CUMINVANE_DOCUMENT_CONFIG_TYPE_H_
+#define CUMINVANE_DOCUMENT_CONFIG_TYPE_H_
 
 #include <array>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -89,4 +89,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_CONFIG_TYPE_H_
+#endif  // CUMINVANE_DOCUMENT_CONFIG_TYPE_H_
--- a/src/core/document_base.h
+++ b/src/document/document_base.h
@@ -1,8 +1,8 @@
 /** @file document_base.h One published document in a balancer: takes newer
  * versions from anywhere and passes them on. */
 
-#ifndef CUMINVANE_CORE_DOCUMENT_BASE_H_
-#define CUMINVANE_CORE_DOCUMENT_BASE_H_
+#ifndef CUMINVANE_DOCUMENT_DOCUMENT_BASE_H_
+#define CUMINVANE_DOCUMENT_DOCUMENT_BASE_H_
 
 #include <algorithm>
 #include <concepts>
@@ -13,16 +13,16 @@
 #include <string_view>
 #include <vector>
 
-#include "core/config_func.h"
-#include "core/document_func.h"
-#include "core/document_type.h"
-#include "core/ini_func.h"
-#include "core/message_func.h"
-#include "core/output_type.h"
-#include "core/random_type.h"
-#include "core/result_type.h"
-#include "core/time_type.h"
-#include "core/vmlist_func.h"
+#include "base/ini_func.h"
+#include "base/random_type.h"
+#include "base/result_type.h"
+#include "base/time_type.h"
+#include "decision/output_type.h"
+#include "document/config_func.h"
+#include "document/document_func.h"
+#include "document/document_type.h"
+#include "document/vmlist_func.h"
+#include "message/message_func.h"
 
 namespace cuminvane {
 
@@ -348,4 +348,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DOCUMENT_BASE_H_
+#endif  // CUMINVANE_DOCUMENT_DOCUMENT_BASE_H_
--- a/src/core/document_func.cc
+++ b/src/document/document_func.cc
@@ -1,6 +1,6 @@
 /** @file document_func.cc Canonical text and differences of documents. */
 
-#include "core/document_func.h"
+#include "document/document_func.h"
 
 #include <xxhash.h>
 
--- a/src/core/document_func.h
+++ b/src/document/document_func.h
@@ -1,17 +1,17 @@
 /** @file document_func.h Canonical text of documents, and the differences
  * between two versions. */
 
-#ifndef CUMINVANE_CORE_DOCUMENT_FUNC_H_
-#define CUMINVANE_CORE_DOCUMENT_FUNC_H_
+#ifndef CUMINVANE_DOCUMENT_DOCUMENT_FUNC_H_
+#define CUMINVANE_DOCUMENT_DOCUMENT_FUNC_H_
 
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "core/document_type.h"
-#include "core/ini_type.h"
-#include "core/result_type.h"
+#include "base/ini_type.h"
+#include "base/result_type.h"
+#include "document/document_type.h"
 
 namespace cuminvane {
 
@@ -39,4 +39,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DOCUMENT_FUNC_H_
+#endif  // CUMINVANE_DOCUMENT_DOCUMENT_FUNC_H_
--- a/src/core/document_type.h
+++ b/src/document/document_type.h
@@ -1,14 +1,14 @@
 /** @file document_type.h How published documents are ordered and passed from
  * balancer to balancer. */
 
-#ifndef CUMINVANE_CORE_DOCUMENT_TYPE_H_
-#define CUMINVANE_CORE_DOCUMENT_TYPE_H_
+#ifndef CUMINVANE_DOCUMENT_DOCUMENT_TYPE_H_
+#define CUMINVANE_DOCUMENT_DOCUMENT_TYPE_H_
 
 #include <msgpack.hpp>
 #include <string>
 #include <vector>
 
-#include "core/message_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -79,4 +79,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_DOCUMENT_TYPE_H_
+#endif  // CUMINVANE_DOCUMENT_DOCUMENT_TYPE_H_
--- a/src/core/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -1,13 +1,13 @@
 /** @file settings_func.cc Parsing of a balancer's settings file. */
 
-#include "core/settings_func.h"
+#include "document/settings_func.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "core/decision_func.h"
-#include "core/ini_func.h"
-#include "core/schema_func.h"
+#include "base/ini_func.h"
+#include "base/schema_func.h"
+#include "decision/decision_func.h"
 #include "table/settings_table.h"
 
 namespace cuminvane {
--- a/src/core/settings_func.h
+++ b/src/document/settings_func.h
@@ -1,13 +1,13 @@
 /** @file settings_func.h Parses a balancer's settings file. */
 
-#ifndef CUMINVANE_CORE_SETTINGS_FUNC_H_
-#define CUMINVANE_CORE_SETTINGS_FUNC_H_
+#ifndef CUMINVANE_DOCUMENT_SETTINGS_FUNC_H_
+#define CUMINVANE_DOCUMENT_SETTINGS_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/ini_type.h"
-#include "core/settings_type.h"
+#include "base/ini_type.h"
+#include "document/settings_type.h"
 
 namespace cuminvane {
 
@@ -26,4 +26,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_SETTINGS_FUNC_H_
+#endif  // CUMINVANE_DOCUMENT_SETTINGS_FUNC_H_
--- a/src/core/settings_type.h
+++ b/src/document/settings_type.h
@@ -1,15 +1,15 @@
 /** @file settings_type.h A balancer's settings as values. */
 
-#ifndef CUMINVANE_CORE_SETTINGS_TYPE_H_
-#define CUMINVANE_CORE_SETTINGS_TYPE_H_
+#ifndef CUMINVANE_DOCUMENT_SETTINGS_TYPE_H_
+#define CUMINVANE_DOCUMENT_SETTINGS_TYPE_H_
 
 #include <string>
 #include <vector>
 
-#include "core/decision_type.h"
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
+#include "decision/decision_type.h"
 
 namespace cuminvane {
 
@@ -92,4 +92,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_SETTINGS_TYPE_H_
+#endif  // CUMINVANE_DOCUMENT_SETTINGS_TYPE_H_
--- a/src/core/vmlist_func.cc
+++ b/src/document/vmlist_func.cc
@@ -1,12 +1,12 @@
 /** @file vmlist_func.cc Parsing of the platform's list of VMs. */
 
-#include "core/vmlist_func.h"
+#include "document/vmlist_func.h"
 
 #include <algorithm>
 
-#include "core/config_func.h"
-#include "core/ini_func.h"
-#include "core/schema_func.h"
+#include "base/ini_func.h"
+#include "base/schema_func.h"
+#include "document/config_func.h"
 #include "table/vmlist_table.h"
 
 namespace cuminvane {
--- a/src/core/vmlist_func.h
+++ b/src/document/vmlist_func.h
@@ -1,13 +1,13 @@
 /** @file vmlist_func.h Parses the platform's list of VMs and looks VMs up. */
 
-#ifndef CUMINVANE_CORE_VMLIST_FUNC_H_
-#define CUMINVANE_CORE_VMLIST_FUNC_H_
+#ifndef CUMINVANE_DOCUMENT_VMLIST_FUNC_H_
+#define CUMINVANE_DOCUMENT_VMLIST_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/ini_type.h"
-#include "core/vmlist_type.h"
+#include "base/ini_type.h"
+#include "document/vmlist_type.h"
 
 namespace cuminvane {
 
@@ -30,4 +30,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_VMLIST_FUNC_H_
+#endif  // CUMINVANE_DOCUMENT_VMLIST_FUNC_H_
--- a/src/core/vmlist_type.h
+++ b/src/document/vmlist_type.h
@@ -1,14 +1,14 @@
 /** @file vmlist_type.h The platform's list of VMs as values. */
 
-#ifndef CUMINVANE_CORE_VMLIST_TYPE_H_
-#define CUMINVANE_CORE_VMLIST_TYPE_H_
+#ifndef CUMINVANE_DOCUMENT_VMLIST_TYPE_H_
+#define CUMINVANE_DOCUMENT_VMLIST_TYPE_H_
 
 #include <string>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -41,4 +41,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_VMLIST_TYPE_H_
+#endif  // CUMINVANE_DOCUMENT_VMLIST_TYPE_H_
--- a/src/emulate/backend_model.h
+++ b/src/emulate/backend_model.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "core/random_type.h"
+#include "base/random_type.h"
 #include "emulate/model_type.h"
 
 namespace cuminvane::emulate {
--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <array>
 
-#include "core/ini_func.h"
-#include "core/schema_func.h"
+#include "base/ini_func.h"
+#include "base/schema_func.h"
 #include "table/experiment_table.h"
 
 namespace cuminvane::emulate {
--- a/src/emulate/experiment_func.h
+++ b/src/emulate/experiment_func.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/ini_type.h"
+#include "base/ini_type.h"
 #include "emulate/experiment_type.h"
 
 namespace cuminvane::emulate {
--- a/src/emulate/experiment_type.h
+++ b/src/emulate/experiment_type.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/settings_type.h"
+#include "document/settings_type.h"
 #include "emulate/caller_model.h"
 
 namespace cuminvane::emulate {
--- a/src/emulate/model_type.h
+++ b/src/emulate/model_type.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/time_type.h"
+#include "base/time_type.h"
 #include "packet/packet_type.h"
 
 namespace cuminvane::emulate {
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "core/vmlist_func.h"
+#include "document/vmlist_func.h"
 #include "packet/packet_func.h"
 
 namespace cuminvane::emulate {
--- a/src/core/board_base.h
+++ b/src/member/board_base.h
@@ -1,16 +1,16 @@
 /** @file board_base.h The blackboard: what this process believes, who said it
  * and when. */
 
-#ifndef CUMINVANE_CORE_BOARD_BASE_H_
-#define CUMINVANE_CORE_BOARD_BASE_H_
+#ifndef CUMINVANE_MEMBER_BOARD_BASE_H_
+#define CUMINVANE_MEMBER_BOARD_BASE_H_
 
 #include <memory>
 
-#include "core/config_type.h"
-#include "core/guarded_type.h"
-#include "core/member_type.h"
-#include "core/time_type.h"
-#include "core/vmlist_type.h"
+#include "base/guarded_type.h"
+#include "base/time_type.h"
+#include "document/config_type.h"
+#include "document/vmlist_type.h"
+#include "member/member_type.h"
 
 namespace cuminvane {
 
@@ -112,4 +112,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_BOARD_BASE_H_
+#endif  // CUMINVANE_MEMBER_BOARD_BASE_H_
--- a/src/core/control_base.h
+++ b/src/member/control_base.h
@@ -1,8 +1,8 @@
 /** @file control_base.h What balancers agree on without a coordinator:
  * membership, documents, the key in use. */
 
-#ifndef CUMINVANE_CORE_CONTROL_BASE_H_
-#define CUMINVANE_CORE_CONTROL_BASE_H_
+#ifndef CUMINVANE_MEMBER_CONTROL_BASE_H_
+#define CUMINVANE_MEMBER_CONTROL_BASE_H_
 
 #include <atomic>
 #include <memory>
@@ -10,12 +10,12 @@
 #include <utility>
 #include <vector>
 
-#include "core/board_base.h"
-#include "core/document_base.h"
-#include "core/drop_func.h"
-#include "core/member_base.h"
-#include "core/message_func.h"
-#include "core/rendezvous_func.h"
+#include "base/rendezvous_func.h"
+#include "decision/drop_func.h"
+#include "document/document_base.h"
+#include "member/board_base.h"
+#include "member/member_base.h"
+#include "message/message_func.h"
 
 namespace cuminvane {
 
@@ -460,4 +460,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_CONTROL_BASE_H_
+#endif  // CUMINVANE_MEMBER_CONTROL_BASE_H_
--- a/src/core/member_base.cc
+++ b/src/member/member_base.cc
@@ -1,12 +1,12 @@
 /** @file member_base.cc Membership of the balancers. */
 
-#include "core/member_base.h"
+#include "member/member_base.h"
 
 #include <algorithm>
 #include <bit>
 
-#include "core/message_func.h"
-#include "core/rendezvous_func.h"
+#include "base/rendezvous_func.h"
+#include "message/message_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/core/member_base.h
+++ b/src/member/member_base.h
@@ -1,20 +1,20 @@
 /** @file member_base.h Membership of the balancers: random probes, indirect
  * probes and suspicion, as in SWIM. */
 
-#ifndef CUMINVANE_CORE_MEMBER_BASE_H_
-#define CUMINVANE_CORE_MEMBER_BASE_H_
+#ifndef CUMINVANE_MEMBER_MEMBER_BASE_H_
+#define CUMINVANE_MEMBER_MEMBER_BASE_H_
 
 #include <deque>
 #include <map>
 #include <string_view>
 #include <vector>
 
-#include "core/member_type.h"
-#include "core/output_type.h"
-#include "core/random_type.h"
-#include "core/settings_type.h"
-#include "core/time_type.h"
-#include "core/vmlist_type.h"
+#include "base/random_type.h"
+#include "base/time_type.h"
+#include "decision/output_type.h"
+#include "document/settings_type.h"
+#include "document/vmlist_type.h"
+#include "member/member_type.h"
 
 namespace cuminvane {
 
@@ -144,4 +144,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_MEMBER_BASE_H_
+#endif  // CUMINVANE_MEMBER_MEMBER_BASE_H_
--- a/src/core/member_type.h
+++ b/src/member/member_type.h
@@ -1,17 +1,17 @@
 /** @file member_type.h What balancers tell each other about the balancers of
  * the fleet. */
 
-#ifndef CUMINVANE_CORE_MEMBER_TYPE_H_
-#define CUMINVANE_CORE_MEMBER_TYPE_H_
+#ifndef CUMINVANE_MEMBER_MEMBER_TYPE_H_
+#define CUMINVANE_MEMBER_MEMBER_TYPE_H_
 
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "core/document_type.h"
-#include "core/message_type.h"
-#include "core/time_type.h"
+#include "base/time_type.h"
+#include "document/document_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -128,4 +128,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_MEMBER_TYPE_H_
+#endif  // CUMINVANE_MEMBER_MEMBER_TYPE_H_
--- a/src/core/message_func.cc
+++ b/src/message/message_func.cc
@@ -1,7 +1,7 @@
 /** @file message_func.cc Encoding and decoding of datagrams with MessagePack.
  */
 
-#include "core/message_func.h"
+#include "message/message_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/core/message_func.h
+++ b/src/message/message_func.h
@@ -1,14 +1,14 @@
 /** @file message_func.h Encodes and decodes datagrams: a header, then one
  * message. */
 
-#ifndef CUMINVANE_CORE_MESSAGE_FUNC_H_
-#define CUMINVANE_CORE_MESSAGE_FUNC_H_
+#ifndef CUMINVANE_MESSAGE_MESSAGE_FUNC_H_
+#define CUMINVANE_MESSAGE_MESSAGE_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/message_type.h"
-#include "core/result_type.h"
+#include "base/result_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -74,4 +74,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_MESSAGE_FUNC_H_
+#endif  // CUMINVANE_MESSAGE_MESSAGE_FUNC_H_
--- a/src/core/message_type.h
+++ b/src/message/message_type.h
@@ -1,8 +1,8 @@
 /** @file message_type.h Every message that processes exchange by datagram;
  * fields are only ever appended. */
 
-#ifndef CUMINVANE_CORE_MESSAGE_TYPE_H_
-#define CUMINVANE_CORE_MESSAGE_TYPE_H_
+#ifndef CUMINVANE_MESSAGE_MESSAGE_TYPE_H_
+#define CUMINVANE_MESSAGE_MESSAGE_TYPE_H_
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -10,8 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
 
 namespace cuminvane {
 
@@ -556,4 +556,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_MESSAGE_TYPE_H_
+#endif  // CUMINVANE_MESSAGE_MESSAGE_TYPE_H_
--- a/src/packet/flow_type.h
+++ b/src/packet/flow_type.h
@@ -4,7 +4,7 @@
 #ifndef CUMINVANE_PACKET_FLOW_TYPE_H_
 #define CUMINVANE_PACKET_FLOW_TYPE_H_
 
-#include "core/time_type.h"
+#include "base/time_type.h"
 #include "packet/packet_type.h"
 
 namespace cuminvane {
--- a/src/packet/packet_type.h
+++ b/src/packet/packet_type.h
@@ -7,8 +7,8 @@
 #include <compare>
 #include <cstdint>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
 
 namespace cuminvane {
 
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -9,9 +9,9 @@
 #include <memory>
 #include <vector>
 
-#include "core/board_base.h"
-#include "core/guarded_type.h"
-#include "core/message_func.h"
+#include "base/guarded_type.h"
+#include "member/board_base.h"
+#include "message/message_func.h"
 #include "packet/flow_shard_base.h"
 #include "packet/packet_func.h"
 
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <array>
 
-#include "core/config_func.h"
-#include "core/member_type.h"
+#include "document/config_func.h"
+#include "member/member_type.h"
 #include "packet/packet_func.h"
 
 namespace cuminvane {
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -10,10 +10,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/config_type.h"
-#include "core/random_type.h"
-#include "core/settings_type.h"
-#include "core/vmlist_type.h"
+#include "base/random_type.h"
+#include "document/config_type.h"
+#include "document/settings_type.h"
+#include "document/vmlist_type.h"
 #include "packet/pool_type.h"
 
 namespace cuminvane {
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -6,11 +6,11 @@
 
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/message_type.h"
-#include "core/output_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
+#include "decision/output_type.h"
+#include "message/message_type.h"
 #include "packet/packet_type.h"
 
 namespace cuminvane {
--- a/src/packet/route_table_base.h
+++ b/src/packet/route_table_base.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/config_type.h"
+#include "document/config_type.h"
 
 namespace cuminvane {
 
--- a/src/core/placement_base.h
+++ b/src/placement/placement_base.h
@@ -1,17 +1,17 @@
 /** @file placement_base.h Chooses backend servers from what this balancer saw
  * itself, then from what they report. */
 
-#ifndef CUMINVANE_CORE_PLACEMENT_BASE_H_
-#define CUMINVANE_CORE_PLACEMENT_BASE_H_
+#ifndef CUMINVANE_PLACEMENT_PLACEMENT_BASE_H_
+#define CUMINVANE_PLACEMENT_PLACEMENT_BASE_H_
 
 #include <map>
 #include <vector>
 
-#include "core/config_func.h"
-#include "core/placement_type.h"
-#include "core/rendezvous_func.h"
-#include "core/result_type.h"
-#include "core/vmlist_func.h"
+#include "base/rendezvous_func.h"
+#include "base/result_type.h"
+#include "document/config_func.h"
+#include "document/vmlist_func.h"
+#include "placement/placement_type.h"
 
 namespace cuminvane {
 
@@ -265,4 +265,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_PLACEMENT_BASE_H_
+#endif  // CUMINVANE_PLACEMENT_PLACEMENT_BASE_H_
--- a/src/core/placement_shared_base.h
+++ b/src/placement/placement_shared_base.h
@@ -1,13 +1,13 @@
 /** @file placement_shared_base.h Placement under one lock, for all shards of a
  * balancer. */
 
-#ifndef CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
-#define CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
+#ifndef CUMINVANE_PLACEMENT_PLACEMENT_SHARED_BASE_H_
+#define CUMINVANE_PLACEMENT_PLACEMENT_SHARED_BASE_H_
 
 #include <map>
 
-#include "core/guarded_type.h"
-#include "core/placement_base.h"
+#include "base/guarded_type.h"
+#include "placement/placement_base.h"
 
 namespace cuminvane {
 
@@ -75,4 +75,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_PLACEMENT_SHARED_BASE_H_
+#endif  // CUMINVANE_PLACEMENT_PLACEMENT_SHARED_BASE_H_
--- a/src/core/placement_type.h
+++ b/src/placement/placement_type.h
@@ -1,18 +1,18 @@
 /** @file placement_type.h What placement knows of a backend server, and the
  * policies that choose one. */
 
-#ifndef CUMINVANE_CORE_PLACEMENT_TYPE_H_
-#define CUMINVANE_CORE_PLACEMENT_TYPE_H_
+#ifndef CUMINVANE_PLACEMENT_PLACEMENT_TYPE_H_
+#define CUMINVANE_PLACEMENT_PLACEMENT_TYPE_H_
 
 #include <algorithm>
 #include <concepts>
 #include <span>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/message_type.h"
-#include "core/random_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/random_type.h"
+#include "base/time_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -90,4 +90,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_PLACEMENT_TYPE_H_
+#endif  // CUMINVANE_PLACEMENT_PLACEMENT_TYPE_H_
--- a/src/core/handover_func.cc
+++ b/src/request/handover_func.cc
@@ -1,9 +1,9 @@
 /** @file handover_func.cc Owners and witnesses of flows. */
 
-#include "core/handover_func.h"
+#include "request/handover_func.h"
 
-#include "core/reply_func.h"
-#include "core/token_func.h"
+#include "request/reply_func.h"
+#include "request/token_func.h"
 
 namespace cuminvane {
 
--- a/src/core/handover_func.h
+++ b/src/request/handover_func.h
@@ -1,13 +1,13 @@
 /** @file handover_func.h Gives a flow an owner and a witness, at its opening
  * and when an earlier owner is out of reach. */
 
-#ifndef CUMINVANE_CORE_HANDOVER_FUNC_H_
-#define CUMINVANE_CORE_HANDOVER_FUNC_H_
+#ifndef CUMINVANE_REQUEST_HANDOVER_FUNC_H_
+#define CUMINVANE_REQUEST_HANDOVER_FUNC_H_
 
-#include "core/board_base.h"
-#include "core/output_type.h"
-#include "core/request_type.h"
-#include "core/token_type.h"
+#include "decision/output_type.h"
+#include "member/board_base.h"
+#include "request/request_type.h"
+#include "request/token_type.h"
 
 namespace cuminvane {
 
@@ -50,4 +50,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_HANDOVER_FUNC_H_
+#endif  // CUMINVANE_REQUEST_HANDOVER_FUNC_H_
--- a/src/core/node_base.h
+++ b/src/request/node_base.h
@@ -1,23 +1,23 @@
 /** @file node_base.h The decision core of one balancer: everything that arrives
  * goes in here, everything to send comes out. */
 
-#ifndef CUMINVANE_CORE_NODE_BASE_H_
-#define CUMINVANE_CORE_NODE_BASE_H_
+#ifndef CUMINVANE_REQUEST_NODE_BASE_H_
+#define CUMINVANE_REQUEST_NODE_BASE_H_
 
 #include <deque>
 #include <memory>
 #include <string_view>
 #include <vector>
 
-#include "core/control_base.h"
-#include "core/drop_func.h"
-#include "core/message_func.h"
-#include "core/placement_shared_base.h"
-#include "core/reply_func.h"
-#include "core/route_func.h"
-#include "core/shard_base.h"
-#include "core/token_func.h"
-#include "core/witness_base.h"
+#include "decision/drop_func.h"
+#include "member/control_base.h"
+#include "message/message_func.h"
+#include "placement/placement_shared_base.h"
+#include "request/reply_func.h"
+#include "request/route_func.h"
+#include "request/shard_base.h"
+#include "request/token_func.h"
+#include "request/witness_base.h"
 
 namespace cuminvane {
 
@@ -767,4 +767,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_NODE_BASE_H_
+#endif  // CUMINVANE_REQUEST_NODE_BASE_H_
--- a/src/core/reply_func.cc
+++ b/src/request/reply_func.cc
@@ -1,6 +1,6 @@
 /** @file reply_func.cc Messages to callers and backend servers. */
 
-#include "core/reply_func.h"
+#include "request/reply_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/core/reply_func.h
+++ b/src/request/reply_func.h
@@ -1,15 +1,15 @@
 /** @file reply_func.h Builds what a balancer sends to callers and backend
  * servers. */
 
-#ifndef CUMINVANE_CORE_REPLY_FUNC_H_
-#define CUMINVANE_CORE_REPLY_FUNC_H_
+#ifndef CUMINVANE_REQUEST_REPLY_FUNC_H_
+#define CUMINVANE_REQUEST_REPLY_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/message_func.h"
-#include "core/output_type.h"
-#include "core/request_type.h"
+#include "decision/output_type.h"
+#include "message/message_func.h"
+#include "request/request_type.h"
 
 namespace cuminvane {
 
@@ -56,4 +56,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_REPLY_FUNC_H_
+#endif  // CUMINVANE_REQUEST_REPLY_FUNC_H_
--- a/src/core/request_type.h
+++ b/src/request/request_type.h
@@ -1,18 +1,18 @@
 /** @file request_type.h What a balancer remembers of one request. */
 
-#ifndef CUMINVANE_CORE_REQUEST_TYPE_H_
-#define CUMINVANE_CORE_REQUEST_TYPE_H_
+#ifndef CUMINVANE_REQUEST_REQUEST_TYPE_H_
+#define CUMINVANE_REQUEST_REQUEST_TYPE_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/message_type.h"
-#include "core/result_type.h"
-#include "core/time_type.h"
-#include "core/token_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/result_type.h"
+#include "base/time_type.h"
+#include "message/message_type.h"
+#include "request/token_type.h"
 
 namespace cuminvane {
 
@@ -72,4 +72,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_REQUEST_TYPE_H_
+#endif  // CUMINVANE_REQUEST_REQUEST_TYPE_H_
--- a/src/core/route_func.cc
+++ b/src/request/route_func.cc
@@ -1,10 +1,10 @@
 /** @file route_func.cc Routing of callers' packets. */
 
-#include "core/route_func.h"
+#include "request/route_func.h"
 
-#include "core/config_func.h"
-#include "core/token_func.h"
-#include "core/vmlist_func.h"
+#include "document/config_func.h"
+#include "document/vmlist_func.h"
+#include "request/token_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/core/route_func.h
+++ b/src/request/route_func.h
@@ -1,11 +1,11 @@
 /** @file route_func.h Decides where a caller's packet goes. */
 
-#ifndef CUMINVANE_CORE_ROUTE_FUNC_H_
-#define CUMINVANE_CORE_ROUTE_FUNC_H_
+#ifndef CUMINVANE_REQUEST_ROUTE_FUNC_H_
+#define CUMINVANE_REQUEST_ROUTE_FUNC_H_
 
-#include "core/board_base.h"
-#include "core/route_type.h"
-#include "core/token_type.h"
+#include "member/board_base.h"
+#include "request/route_type.h"
+#include "request/token_type.h"
 
 namespace cuminvane {
 
@@ -60,4 +60,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_ROUTE_FUNC_H_
+#endif  // CUMINVANE_REQUEST_ROUTE_FUNC_H_
--- a/src/core/route_type.h
+++ b/src/request/route_type.h
@@ -1,13 +1,13 @@
 /** @file route_type.h Where a caller's packet goes from the balancer that
  * received it. */
 
-#ifndef CUMINVANE_CORE_ROUTE_TYPE_H_
-#define CUMINVANE_CORE_ROUTE_TYPE_H_
+#ifndef CUMINVANE_REQUEST_ROUTE_TYPE_H_
+#define CUMINVANE_REQUEST_ROUTE_TYPE_H_
 
-#include "core/endpoint_type.h"
-#include "core/ids_type.h"
-#include "core/message_type.h"
-#include "core/result_type.h"
+#include "base/endpoint_type.h"
+#include "base/ids_type.h"
+#include "base/result_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -32,4 +32,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_ROUTE_TYPE_H_
+#endif  // CUMINVANE_REQUEST_ROUTE_TYPE_H_
--- a/src/core/shard_base.h
+++ b/src/request/shard_base.h
@@ -1,8 +1,8 @@
 /** @file shard_base.h One shard of the flow state: records requests, dispatches
  * them, keeps answers. */
 
-#ifndef CUMINVANE_CORE_SHARD_BASE_H_
-#define CUMINVANE_CORE_SHARD_BASE_H_
+#ifndef CUMINVANE_REQUEST_SHARD_BASE_H_
+#define CUMINVANE_REQUEST_SHARD_BASE_H_
 
 #include <xxhash.h>
 
@@ -12,18 +12,18 @@
 #include <optional>
 #include <unordered_map>
 
-#include "core/board_base.h"
-#include "core/budget_base.h"
-#include "core/config_func.h"
-#include "core/handover_func.h"
-#include "core/member_type.h"
-#include "core/message_func.h"
-#include "core/placement_type.h"
-#include "core/reply_func.h"
-#include "core/request_type.h"
-#include "core/settings_type.h"
-#include "core/token_func.h"
-#include "core/window_base.h"
+#include "base/budget_base.h"
+#include "document/config_func.h"
+#include "document/settings_type.h"
+#include "member/board_base.h"
+#include "member/member_type.h"
+#include "message/message_func.h"
+#include "placement/placement_type.h"
+#include "request/handover_func.h"
+#include "request/reply_func.h"
+#include "request/request_type.h"
+#include "request/token_func.h"
+#include "request/window_base.h"
 
 namespace cuminvane {
 
@@ -815,4 +815,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_SHARD_BASE_H_
+#endif  // CUMINVANE_REQUEST_SHARD_BASE_H_
--- a/src/core/token_func.cc
+++ b/src/request/token_func.cc
@@ -1,7 +1,7 @@
 /** @file token_func.cc Tokens are the content in MessagePack followed by its
  * SipHash-2-4 MAC of 128 bits. */
 
-#include "core/token_func.h"
+#include "request/token_func.h"
 
 #include <sodium.h>
 
--- a/src/core/token_func.h
+++ b/src/request/token_func.h
@@ -1,14 +1,14 @@
 /** @file token_func.h Signs and checks flow tokens. */
 
-#ifndef CUMINVANE_CORE_TOKEN_FUNC_H_
-#define CUMINVANE_CORE_TOKEN_FUNC_H_
+#ifndef CUMINVANE_REQUEST_TOKEN_FUNC_H_
+#define CUMINVANE_REQUEST_TOKEN_FUNC_H_
 
 #include <string>
 #include <string_view>
 
-#include "core/config_type.h"
-#include "core/result_type.h"
-#include "core/token_type.h"
+#include "base/result_type.h"
+#include "document/config_type.h"
+#include "request/token_type.h"
 
 namespace cuminvane {
 
@@ -30,4 +30,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_TOKEN_FUNC_H_
+#endif  // CUMINVANE_REQUEST_TOKEN_FUNC_H_
--- a/src/core/token_type.h
+++ b/src/request/token_type.h
@@ -1,13 +1,13 @@
 /** @file token_type.h The flow token: what a balancer needs to know of a flow,
  * carried by the flow itself. */
 
-#ifndef CUMINVANE_CORE_TOKEN_TYPE_H_
-#define CUMINVANE_CORE_TOKEN_TYPE_H_
+#ifndef CUMINVANE_REQUEST_TOKEN_TYPE_H_
+#define CUMINVANE_REQUEST_TOKEN_TYPE_H_
 
 #include <msgpack.hpp>
 
-#include "core/ids_type.h"
-#include "core/message_type.h"
+#include "base/ids_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -37,4 +37,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_TOKEN_TYPE_H_
+#endif  // CUMINVANE_REQUEST_TOKEN_TYPE_H_
--- a/src/core/window_base.cc
+++ b/src/request/window_base.cc
@@ -1,6 +1,6 @@
 /** @file window_base.cc The window of one flow. */
 
-#include "core/window_base.h"
+#include "request/window_base.h"
 
 #include <algorithm>
 
--- a/src/core/window_base.h
+++ b/src/request/window_base.h
@@ -1,14 +1,14 @@
 /** @file window_base.h The requests remembered for one flow: a bounded window
  * that never loses an open request. */
 
-#ifndef CUMINVANE_CORE_WINDOW_BASE_H_
-#define CUMINVANE_CORE_WINDOW_BASE_H_
+#ifndef CUMINVANE_REQUEST_WINDOW_BASE_H_
+#define CUMINVANE_REQUEST_WINDOW_BASE_H_
 
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "core/request_type.h"
+#include "request/request_type.h"
 
 namespace cuminvane {
 
@@ -57,4 +57,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_WINDOW_BASE_H_
+#endif  // CUMINVANE_REQUEST_WINDOW_BASE_H_
--- a/src/core/witness_base.cc
+++ b/src/request/witness_base.cc
@@ -1,6 +1,6 @@
 /** @file witness_base.cc Intents and closures. */
 
-#include "core/witness_base.h"
+#include "request/witness_base.h"
 
 #include <algorithm>
 
--- a/src/core/witness_base.h
+++ b/src/request/witness_base.h
@@ -1,15 +1,15 @@
 /** @file witness_base.h What a witness knows: which requests an owner meant to
  * dispatch, and which owners are closed. */
 
-#ifndef CUMINVANE_CORE_WITNESS_BASE_H_
-#define CUMINVANE_CORE_WITNESS_BASE_H_
+#ifndef CUMINVANE_REQUEST_WITNESS_BASE_H_
+#define CUMINVANE_REQUEST_WITNESS_BASE_H_
 
 #include <map>
 #include <unordered_map>
 
-#include "core/ids_type.h"
-#include "core/message_type.h"
-#include "core/time_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
@@ -89,4 +89,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_CORE_WITNESS_BASE_H_
+#endif  // CUMINVANE_REQUEST_WITNESS_BASE_H_
--- a/src/shell/clock_func.h
+++ b/src/shell/clock_func.h
@@ -3,7 +3,7 @@
 #ifndef CUMINVANE_SHELL_CLOCK_FUNC_H_
 #define CUMINVANE_SHELL_CLOCK_FUNC_H_
 
-#include "core/time_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -6,9 +6,9 @@
 #include <csignal>
 #include <random>
 
-#include "core/decision_func.h"
-#include "core/ini_func.h"
-#include "core/settings_func.h"
+#include "base/ini_func.h"
+#include "decision/decision_func.h"
+#include "document/settings_func.h"
 #include "platform/packet_func.h"
 #include "shell/checker_base.h"
 #include "shell/clock_func.h"
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -14,7 +14,7 @@
 
 #include "balancer/balancer_base.h"
 #include "control/control_func.h"
-#include "core/settings_type.h"
+#include "document/settings_type.h"
 #include "shell/metrics_base.h"
 #include "shell/packet_lane_base.h"
 #include "shell/page_base.h"
--- a/src/shell/log_func.cc
+++ b/src/shell/log_func.cc
@@ -19,7 +19,7 @@
 #include <boost/make_shared.hpp>
 #include <iostream>
 
-#include "core/decision_func.h"
+#include "decision/decision_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/shell/log_func.h
+++ b/src/shell/log_func.h
@@ -6,8 +6,8 @@
 
 #include <string>
 
-#include "core/decision_type.h"
-#include "core/time_type.h"
+#include "base/time_type.h"
+#include "decision/decision_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -6,8 +6,8 @@
 #include <array>
 #include <ostream>
 
-#include "core/config_func.h"
-#include "core/decision_func.h"
+#include "decision/decision_func.h"
+#include "document/config_func.h"
 
 namespace cuminvane {
 namespace {
--- a/src/shell/metrics_base.h
+++ b/src/shell/metrics_base.h
@@ -13,8 +13,8 @@
 #include <mutex>
 #include <string>
 
-#include "core/config_type.h"
-#include "core/output_type.h"
+#include "decision/output_type.h"
+#include "document/config_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/packet_lane_base.h
+++ b/src/shell/packet_lane_base.h
@@ -12,7 +12,7 @@
 #include <span>
 #include <vector>
 
-#include "core/endpoint_type.h"
+#include "base/endpoint_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/page_base.h
+++ b/src/shell/page_base.h
@@ -8,8 +8,8 @@
 #include <memory>
 #include <string>
 
-#include "core/endpoint_type.h"
-#include "core/result_type.h"
+#include "base/endpoint_type.h"
+#include "base/result_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/program_func.h
+++ b/src/shell/program_func.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/socket_base.h
+++ b/src/shell/socket_base.h
@@ -9,9 +9,9 @@
 #include <optional>
 #include <string_view>
 
-#include "core/endpoint_type.h"
-#include "core/message_type.h"
-#include "core/result_type.h"
+#include "base/endpoint_type.h"
+#include "base/result_type.h"
+#include "message/message_type.h"
 
 namespace cuminvane {
 
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <sstream>
 
-#include "core/decision_func.h"
+#include "decision/decision_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -8,10 +8,10 @@
 #include <map>
 #include <string>
 
-#include "core/board_base.h"
-#include "core/node_base.h"
-#include "core/settings_type.h"
+#include "document/settings_type.h"
+#include "member/board_base.h"
 #include "packet/pool_type.h"
+#include "request/node_base.h"
 #include "shell/metrics_base.h"
 
 namespace cuminvane {
--- a/src/shell/target_func.cc
+++ b/src/shell/target_func.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <sstream>
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 namespace cuminvane {
 namespace {
--- a/src/shell/watcher_base.h
+++ b/src/shell/watcher_base.h
@@ -9,9 +9,9 @@
 #include <functional>
 #include <string>
 
-#include "core/document_type.h"
-#include "core/result_type.h"
-#include "core/settings_type.h"
+#include "base/result_type.h"
+#include "document/document_type.h"
+#include "document/settings_type.h"
 #include "platform/record_func.h"
 #include "platform/store_base.h"
 
--- a/src/standin/backend_base.h
+++ b/src/standin/backend_base.h
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "core/message_func.h"
-#include "core/output_type.h"
-#include "core/time_type.h"
+#include "base/time_type.h"
+#include "decision/output_type.h"
+#include "message/message_func.h"
 #include "standin/work_func.h"
 
 namespace cuminvane {
--- a/src/standin/fabric_role.cc
+++ b/src/standin/fabric_role.cc
@@ -11,9 +11,9 @@
 #include <thread>
 #include <vector>
 
-#include "core/message_func.h"
-#include "core/random_type.h"
-#include "core/vmlist_func.h"
+#include "base/random_type.h"
+#include "document/vmlist_func.h"
+#include "message/message_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
 #include "shell/watcher_base.h"
--- a/src/standin/figures_role.cc
+++ b/src/standin/figures_role.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "core/config_func.h"
-#include "core/ini_func.h"
+#include "base/ini_func.h"
+#include "document/config_func.h"
 #include "shell/program_func.h"
 #include "standin/record_func.h"
 #include "standin/role_func.h"
--- a/src/shell/load_base.cc
+++ b/src/standin/load_role.cc
@@ -1,6 +1,6 @@
-/** @file load_base.cc The caller's process. */
+/** @file load_role.cc The caller's process. */
 
-#include "shell/load_base.h"
+#include "standin/load_role.h"
 
 #include <asio.hpp>
 #include <charconv>
@@ -11,8 +11,8 @@
 #include <optional>
 #include <queue>
 
-#include "core/caller_base.h"
-#include "core/config_func.h"
+#include "caller/caller_base.h"
+#include "document/config_func.h"
 #include "shell/clock_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
--- a/src/shell/load_base.h
+++ b/src/standin/load_role.h
@@ -1,15 +1,15 @@
-/** @file load_base.h The caller's process: one request, or a load of many flows
+/** @file load_role.h The caller's process: one request, or a load of many flows
  * from one source address. */
 
-#ifndef CUMINVANE_SHELL_LOAD_BASE_H_
-#define CUMINVANE_SHELL_LOAD_BASE_H_
+#ifndef CUMINVANE_STANDIN_LOAD_ROLE_H_
+#define CUMINVANE_STANDIN_LOAD_ROLE_H_
 
 #include <string>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/result_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/result_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
@@ -60,4 +60,4 @@
 
 }  // namespace cuminvane
 
-#endif  // CUMINVANE_SHELL_LOAD_BASE_H_
+#endif  // CUMINVANE_STANDIN_LOAD_ROLE_H_
--- a/src/standin/platform_role.cc
+++ b/src/standin/platform_role.cc
@@ -16,9 +16,9 @@
 #include <thread>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/schema_func.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/schema_func.h"
+#include "base/time_type.h"
 #include "shell/clock_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
--- a/src/standin/role_func.h
+++ b/src/standin/role_func.h
@@ -5,7 +5,7 @@
 
 #include <cxxopts.hpp>
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 namespace cuminvane {
 
--- a/src/standin/work_func.h
+++ b/src/standin/work_func.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/time_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
--- a/src/table/config_table.h
+++ b/src/table/config_table.h
@@ -6,7 +6,7 @@
 
 #include <array>
 
-#include "core/schema_type.h"
+#include "base/schema_type.h"
 
 namespace cuminvane {
 
--- a/tests/document_test.cc
+++ b/tests/document_test.cc
@@ -4,14 +4,14 @@
 #include <fstream>
 #include <sstream>
 
-#include "core/config_func.h"
-#include "core/document_base.h"
-#include "core/ini_func.h"
-#include "core/schema_func.h"
-#include "core/settings_func.h"
-#include "core/vmlist_func.h"
+#include "base/ini_func.h"
+#include "base/result_table.h"
+#include "base/schema_func.h"
+#include "document/config_func.h"
+#include "document/document_base.h"
+#include "document/settings_func.h"
+#include "document/vmlist_func.h"
 #include "table/config_table.h"
-#include "table/result_codes.h"
 #include "table/settings_table.h"
 #include "table/vmlist_table.h"
 #include "tests/test_text.h"
--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -3,7 +3,7 @@
 
 #include <set>
 
-#include "core/ini_func.h"
+#include "base/ini_func.h"
 #include "emulate/experiment_func.h"
 #include "emulate/report_func.h"
 #include "shell/program_func.h"
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "core/caller_base.h"
-#include "core/node_base.h"
+#include "caller/caller_base.h"
+#include "request/node_base.h"
 #include "standin/backend_base.h"
 
 namespace cuminvane {
--- a/tests/fuzz/decoders_fuzz.cc
+++ b/tests/fuzz/decoders_fuzz.cc
@@ -5,12 +5,12 @@
 #include <span>
 #include <string>
 
-#include "core/config_func.h"
-#include "core/document_type.h"
-#include "core/member_type.h"
-#include "core/message_func.h"
-#include "core/settings_func.h"
-#include "core/vmlist_func.h"
+#include "document/config_func.h"
+#include "document/document_type.h"
+#include "document/settings_func.h"
+#include "document/vmlist_func.h"
+#include "member/member_type.h"
+#include "message/message_func.h"
 #include "packet/pool_type.h"
 #include "platform/packet_func.h"
 #include "platform/record_func.h"
--- a/tests/history_type.h
+++ b/tests/history_type.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "core/ids_type.h"
-#include "core/time_type.h"
+#include "base/ids_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane {
 
--- a/tests/measure_main.cc
+++ b/tests/measure_main.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "core/member_base.h"
+#include "member/member_base.h"
 #include "tests/fleet_fake.h"
 
 namespace cuminvane {
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -5,8 +5,8 @@
 #include <map>
 #include <set>
 
-#include "core/member_base.h"
-#include "core/message_func.h"
+#include "member/member_base.h"
+#include "message/message_func.h"
 #include "tests/test_text.h"
 
 using namespace cuminvane;
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -3,8 +3,8 @@
 
 #include <random>
 
-#include "core/message_func.h"
-#include "core/token_func.h"
+#include "message/message_func.h"
+#include "request/token_func.h"
 #include "tests/test_text.h"
 
 using namespace cuminvane;
--- a/tests/packet_test.cc
+++ b/tests/packet_test.cc
@@ -4,8 +4,8 @@
 #include <set>
 
 #include "balancer/balancer_base.h"
-#include "core/config_func.h"
-#include "core/vmlist_func.h"
+#include "document/config_func.h"
+#include "document/vmlist_func.h"
 #include "tests/test_text.h"
 
 using namespace cuminvane;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -3,10 +3,10 @@
 
 #include <random>
 
-#include "core/config_func.h"
-#include "core/ini_func.h"
-#include "core/schema_func.h"
-#include "core/vmlist_func.h"
+#include "base/ini_func.h"
+#include "base/schema_func.h"
+#include "document/config_func.h"
+#include "document/vmlist_func.h"
 #include "platform/packet_func.h"
 #include "platform/record_func.h"
 #include "platform/store_base.h"
--- a/tests/soak/proxy_base.h
+++ b/tests/soak/proxy_base.h
@@ -8,8 +8,8 @@
 #include <memory>
 #include <vector>
 
-#include "core/endpoint_type.h"
-#include "core/time_type.h"
+#include "base/endpoint_type.h"
+#include "base/time_type.h"
 
 namespace cuminvane::soak {
 
--- a/tests/test_text.h
+++ b/tests/test_text.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-#include "core/result_type.h"
+#include "base/result_type.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -9,6 +9,8 @@
 tools/setup.sh
 step format
 tools/format.sh --check || { echo "test: run tools/format.sh" >&2; exit 1; }
+step folders
+tools/folders.sh >/dev/null || { echo "test: two folders use each other" >&2; exit 1; }
 step build
 cmake --preset release >/dev/null
 cmake --build --preset release
