A soak that fails ends its processes, and shares no address with another

Found in the run after the first abort: orphans of the aborted soak still held the addresses that the next run drew from its process id. An exception now unwinds the fleet, which ends what it started, and the drawn addresses are tried before use.

--- a/tests/soak/fleet_base.cc
+++ b/tests/soak/fleet_base.cc
@@ -64,6 +64,18 @@
   return status;
 }
 
+constexpr uint32_t kOctets = 250;
+
+/** @return Whether nothing on this machine uses the fleet's addresses. */
+bool IsFree(asio::io_context& context, const Endpoint& store) {
+  asio::ip::tcp::acceptor probe(context);
+  asio::error_code error;
+  probe.open(asio::ip::tcp::v4(), error);
+  probe.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  probe.bind({asio::ip::address_v4(store.ip), store.port}, error);
+  return !error;
+}
+
 /** @return The kinds of request: small reads, edits, and larger files. */
 std::vector<emulate::WorkKind> MakeKinds() {
   std::vector<emulate::WorkKind> kinds = {
@@ -80,12 +92,15 @@
 Fleet::Fleet(asio::io_context& context, std::string directory, std::string bin)
     : directory(std::move(directory)),
       bin(std::move(bin)),
-      octet(static_cast<uint32_t>(getpid()) % 250 + 1),
+      octet(static_cast<uint32_t>(getpid()) % kOctets + 1),
       kinds(MakeKinds()),
       in_rotation(kBalancers, false) {
   std::filesystem::create_directories(this->directory + "/store/servers");
   std::filesystem::create_directories(this->directory + "/store/op");
   this->Publish();
+  for (uint32_t tries = 0;
+       tries < kOctets && !IsFree(context, this->At(0, 2, kStorePort)); ++tries)
+    this->octet = this->octet % kOctets + 1;
   const Endpoint store_address = this->At(0, 2, kStorePort);
   this->StartStore(store_address);
   for (int index = 0; index < kDeskServers + kFileServers; ++index)
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -329,13 +329,19 @@
   std::vector<std::string> breaks;
 };
 
-/** @return Whether every promise held; all processes have ended then. */
+/** @return Whether every promise held; all processes have ended then, also
+ * where the soak itself failed. */
 bool PlaySeed(uint64_t seed,
               Seconds length,
               const std::string& directory,
               const std::string& bin) {
-  Soak soak(seed, length, directory, bin);
-  return soak.Run();
+  try {
+    Soak soak(seed, length, directory, bin);
+    return soak.Run();
+  } catch (const std::exception& error) {
+    std::cout << "soak seed=" << seed << " error=\"" << error.what() << "\"\n";
+    return false;
+  }
 }
 
 ResultCode RunSoak(const cxxopts::ParseResult& options) {
