Copies of opening packets wait for an idle slot; a full near server leaves flows to others

Ruled out: start of the program (7 ms of processor time, 90 ms until the first flow is placed) and the checks, all of which were answered.

New flows are opened up to 3 unanswered requests a slot (2 before), copies up to 1; near is left where it is full.

--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -95,7 +95,8 @@
                     ReadMs(section, "recheck_ms"),
                     ReadMs(section, "distrust_ms"),
                     ReadMs(section, "vanish_grace_ms"),
-                    section.Integer("open_depth")};
+                    section.Integer("open_depth"),
+                    section.Integer("copy_depth")};
 }
 
 /** A balancer serves callers with tokens, opaque flows, or both. */
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -54,8 +54,10 @@
   Milliseconds recheck{500};        ///< Between checks of one out of reach.
   Milliseconds distrust{500};       ///< Without new flows after it is back.
   Milliseconds vanish_grace{2000};  ///< An entry may be back within this.
-  int64_t open_depth = 2;  ///< Unanswered requests for each slot up to which
+  int64_t open_depth = 3;  ///< Unanswered requests for each slot up to which
                            ///< new flows are opened; 0: no limit.
+  int64_t copy_depth = 1;  ///< The same for copies of opening packets, whose
+                           ///< callers have waited already; 0: no limit.
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -90,6 +90,7 @@
   variant.flows.distrust = ReadMs(section, "distrust_ms");
   variant.flows.vanish_grace = ReadMs(section, "vanish_grace_ms");
   variant.flows.open_depth = section.Integer("open_depth");
+  variant.flows.copy_depth = section.Integer("copy_depth");
   return variant;
 }
 
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -224,11 +224,15 @@
   record.seen_at = call.now;
   record.opening_sequence = packet.sequence;
   record.next_sequence = packet.sequence;
-  const PoolChoice choice = call.backends.Choose(
-      route.ServiceOf(FlowIdOf(packet.key)), avoided, call.now, call.random);
+  // An opening packet says here which copy of it this is.
+  const uint32_t copy = packet.acknowledged;
+  const int64_t depth = call.backends.DepthFor(copy);
+  const PoolChoice choice =
+      call.backends.Choose(route.ServiceOf(FlowIdOf(packet.key)), avoided,
+                           depth, call.now, call.random);
   if (choice.member == nullptr)
     return Reset("no_backend", packet, VmId{}, call);
-  if (packet.acknowledged < kLastCopy && call.backends.IsFull(*choice.member)) {
+  if (copy < kLastCopy && BackendPool::IsFull(*choice.member, depth)) {
     Uncount(record, call.backends);
     record.backend = VmId{};
     Log("flow_delayed", "backend_full", packet, choice.member->vm,
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -214,6 +214,7 @@
 
 PoolChoice BackendPool::Choose(ServiceId service,
                                VmId avoided,
+                               int64_t depth,
                                TimePoint now,
                                RandomEngine& random) {
   const std::vector<PoolMember*> all = this->Candidates(service, avoided, now);
@@ -222,8 +223,11 @@
   std::vector<PoolMember*> near;
   std::ranges::copy_if(all, std::back_inserter(near),
                        [](const PoolMember* one) { return one->near; });
-  if (!near.empty() && this->StaysNear(service, random))
-    return {this->LeastLoaded(near, now, random), "near"};
+  if (!near.empty() && this->StaysNear(service, random)) {
+    PoolMember* const best = this->LeastLoaded(near, now, random);
+    if (!IsFull(*best, depth))
+      return {best, "near"};
+  }
   return {this->LeastLoaded(all, now, random), "least_loaded"};
 }
 
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -61,20 +61,28 @@
    * Chooses for a new flow.
    * @param service The flow's service.
    * @param avoided One that did not answer the flow's opening packet; none.
+   * @param depth As IsFull.
    */
   PoolChoice Choose(ServiceId service,
                     VmId avoided,
+                    int64_t depth,
                     TimePoint now,
                     RandomEngine& random);
 
   /**
+   * @param depth Unanswered requests for each slot; 0: no limit.
    * @return Whether so much is unanswered at the backend server that a flow
    * opened now would only lengthen its queue. The caller's copy of the opening
    * packet comes soon, when the queue is shorter.
    */
-  bool IsFull(const PoolMember& member) const {
-    return this->limits.open_depth > 0 &&
-           member.waiting >= this->limits.open_depth * member.slots;
+  static bool IsFull(const PoolMember& member, int64_t depth) {
+    return depth > 0 && member.waiting >= depth * member.slots;
+  }
+
+  /** @return The depth up to which an opening packet is placed.
+   * @param copy 0 for the first, 1 for the first copy of it, and so on. */
+  int64_t DepthFor(uint32_t copy) const {
+    return copy == 0 ? this->limits.open_depth : this->limits.copy_depth;
   }
 
   /** Takes note that a backend server has answered something. */
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -96,8 +96,10 @@
            "As flows.distrust_ms."},
     KeyRow{"variant", "vanish_grace_ms", ValueKind::kInteger, "2000", 0, 60000,
            "", "As flows.vanish_grace_ms."},
-    KeyRow{"variant", "open_depth", ValueKind::kInteger, "2", 0, 1000, "",
+    KeyRow{"variant", "open_depth", ValueKind::kInteger, "3", 0, 1000, "",
            "As flows.open_depth."},
+    KeyRow{"variant", "copy_depth", ValueKind::kInteger, "1", 0, 1000, "",
+           "As flows.copy_depth."},
 };
 
 inline constexpr Schema kExperimentSchema{kExperimentSections, kExperimentKeys};
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -143,10 +143,14 @@
            "Time in which an entry that has left the list may be back, in "
            "milliseconds; until then the backend server's flows tell whether "
            "it lives."},
-    KeyRow{"flows", "open_depth", ValueKind::kInteger, "2", 0, 1000, "",
+    KeyRow{"flows", "open_depth", ValueKind::kInteger, "3", 0, 1000, "",
            "Unanswered requests for each slot of a backend server up to which "
            "new flows are opened on it; above, a caller's next copy of its "
            "opening packet is awaited. 0: no limit."},
+    KeyRow{"flows", "copy_depth", ValueKind::kInteger, "1", 0, 1000, "",
+           "The same for copies of an opening packet: where backend servers "
+           "are busy, flows whose answer can still be in time go first. The "
+           "last copy is placed in any case. 0: no limit."},
     KeyRow{"stop", "grace_ms", ValueKind::kInteger, "30000", 0, 3600000, "",
            "Longest wait for requests in progress, in milliseconds."},
     KeyRow{"stop", "linger_ms", ValueKind::kInteger, "2000", 0, 600000, "",
