The emulator judges what was changed on its way, and which configuration is followed

Missing until now: UNASKED, MIXED and CONFIG had no broken decision in virtual time that a check noticed. Each packet now carries a seal of what its sender wrote; routes may move to another service or go (route_move, route_drop); an opening packet is judged by the versions that allow where it went, and against what its balancer has shown before.

--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -15,7 +15,8 @@
 constexpr std::array<const char*, kFaultKinds> kFaultWords = {
     "balancer_kill", "balancer_stop", "balancer_pause", "power_off",
     "backend_crash", "backend_dark",  "backend_slow",   "backend_fail",
-    "release",       "centre_cut",    "list_lapse",     "burst"};
+    "release",       "centre_cut",    "list_lapse",     "burst",
+    "route_move",    "route_drop"};
 /** Addresses of the kinds of work, one each. */
 constexpr uint32_t kServiceNet = 0xc6120000;
 constexpr uint16_t kServicePort = 443;
@@ -77,6 +78,7 @@
   fault.count = static_cast<int>(section.Integer("count"));
   fault.factor = section.Decimal("factor");
   fault.service = section.Text("service");
+  fault.work = section.Text("work");
   fault.data_centre = section.Text("data_centre");
   return fault;
 }
@@ -100,6 +102,11 @@
     return std::ranges::find(experiment.services, name, &ServicePlan::name) !=
            experiment.services.end();
   };
+  const auto has_work = [&](const std::string& name) {
+    return std::ranges::any_of(experiment.work, [&](const WorkPlan& work) {
+      return work.kind.name == name;
+    });
+  };
   for (const WorkPlan& work : experiment.work) {
     if (!has_service(work.service))
       check.problems.push_back({document.file, 0, "work " + work.kind.name,
@@ -111,6 +118,14 @@
       check.problems.push_back({document.file, 0, "fault " + fault.name,
                                 "service", fault.service,
                                 "a service of this file"});
+    const bool moves = fault.kind == FaultKind::kRouteMove;
+    const bool of_work = moves || fault.kind == FaultKind::kRouteDrop;
+    if (of_work && !has_work(fault.work))
+      check.problems.push_back({document.file, 0, "fault " + fault.name, "work",
+                                fault.work, "a kind of work of this file"});
+    if (moves && fault.service.empty())
+      check.problems.push_back({document.file, 0, "fault " + fault.name,
+                                "service", "", "the service it moves to"});
     if (!fault.data_centre.empty() &&
         std::ranges::find(experiment.data_centres, fault.data_centre) ==
             experiment.data_centres.end())
--- a/src/emulate/model_func.cc
+++ b/src/emulate/model_func.cc
@@ -1,7 +1,10 @@
 /** @file model_func.cc Requests, answers and ordered data of the emulated ends.
  */
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 #include "emulate/model_type.h"
@@ -18,6 +21,19 @@
 
 }  // namespace
 
+uint64_t SealOf(const ModelPacket& packet) {
+  const std::array<uint64_t, 4> head = {
+      FlowIdOf(packet.key).value,
+      static_cast<uint64_t>(packet.sequence) << 32 | packet.acknowledged,
+      static_cast<uint64_t>(packet.from_caller) |
+          static_cast<uint64_t>(packet.opens) << 1 |
+          static_cast<uint64_t>(packet.answers) << 2 |
+          static_cast<uint64_t>(packet.closes) << 3 |
+          static_cast<uint64_t>(packet.resets) << 4,
+      XXH3_64bits(packet.payload.data(), packet.payload.size())};
+  return XXH3_64bits(head.data(), sizeof(head));
+}
+
 std::string FormatRequest(const ModelRequest& request) {
   return std::string(kRequestWord) + " " + std::to_string(request.id) + " " +
          std::to_string(request.work.count()) + " " +
--- a/src/emulate/model_type.h
+++ b/src/emulate/model_type.h
@@ -30,10 +30,15 @@
   bool closes = false;
   bool resets = false;
   std::string payload;
+  uint64_t seal = 0;  ///< Of what its sender wrote.
 
   bool operator==(const ModelPacket&) const = default;
 };
 
+/** @return The seal of the packet as it is; the tag is not part of it, since
+ * balancers write it. */
+uint64_t SealOf(const ModelPacket& packet);
+
 /** What a request asks for; the text form is the packet's payload. */
 struct ModelRequest {
   uint64_t id = 0;
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -38,10 +38,20 @@
   uint64_t peer_bytes = 0;
 };
 
-/** Changes a decision, to show that a broken one is noticed. */
-using Sabotage = std::function<void(const OpaquePacket& packet,
-                                    PacketAction& action,
-                                    RandomEngine& random)>;
+/** Changes a packet at a balancer and what is decided about it, to show that a
+ * broken decision is noticed. */
+using Sabotage = std::function<
+    void(ModelPacket& packet, PacketAction& action, RandomEngine& random)>;
+
+/** Where flows of one kind of work go from one version of the configuration
+ * on. */
+struct RouteChange {
+  uint64_t version = 0;
+  TimePoint at;
+  std::string service;  ///< Empty: there is no route.
+
+  bool operator==(const RouteChange&) const = default;
+};
 
 /** One run of an experiment with one variant. */
 class World {
@@ -69,6 +79,8 @@
     TimePoint disturbed_at;
     uint64_t starts = 0;
     uint64_t seen_list = 0;
+    uint64_t shown_version = 0;  ///< Newest that its opened flows show.
+    TimePoint shown_at;
   };
 
   struct Server {
@@ -103,6 +115,8 @@
   void Start(Node& node);
   void OfferDocuments(Node& node);
   void PublishList();
+  void PublishRoute(size_t kind, const std::string& service);
+  void TellAll();
   std::string ConfigText() const;
   std::string ListText() const;
   void Step();
@@ -127,6 +141,7 @@
   std::vector<Node*> DrawNodes(const FaultPlan& fault);
   std::vector<Server*> DrawServers(const FaultPlan& fault);
   size_t DrawCentre(const FaultPlan& fault);
+  size_t KindNamed(const std::string& name) const;
   void Kill(Node& node);
   void Stop(Node& node, Milliseconds span);
   void Crash(Server& server, bool dark);
@@ -135,6 +150,12 @@
   void Replace(Server& server);
   void Release(const FaultPlan& fault);
 
+  void CheckSeal(const ModelPacket& packet, const char* rule);
+  void CheckOpening(Node& node, const FlowKey& key, const std::string& service);
+  size_t KindOf(const FlowKey& key) const;
+  bool WasAllowed(size_t kind,
+                  const std::string& service,
+                  TimePoint since) const;
   void CheckRequests(WorldResult& outcome) const;
   void CheckOpens(WorldResult& outcome) const;
   void CheckRecovery(WorldResult& outcome) const;
@@ -153,6 +174,8 @@
   std::multimap<TimePoint, Deed> deeds;
   std::set<size_t> cut_centres;
   uint64_t list_version = 1;
+  uint64_t config_version = 1;
+  std::vector<std::vector<RouteChange>> routes;  ///< Of each kind of work.
   uint64_t next_server = 1;
   double load = 1;
   Sabotage sabotage;
--- a/src/emulate/world_fault.cc
+++ b/src/emulate/world_fault.cc
@@ -64,6 +64,11 @@
   return chosen;
 }
 
+size_t World::KindNamed(const std::string& name) const {
+  const auto found = std::ranges::find(this->kinds, name, &WorkKind::name);
+  return static_cast<size_t>(found - this->kinds.begin());
+}
+
 void World::Begin(const FaultPlan& fault) {
   const TimePoint until = this->now + fault.span;
   switch (fault.kind) {
@@ -144,6 +149,16 @@
       }
       this->PublishList();
       break;
+    case FaultKind::kRouteMove:
+    case FaultKind::kRouteDrop: {
+      const size_t kind = this->KindNamed(fault.work);
+      const bool moves = fault.kind == FaultKind::kRouteMove;
+      this->PublishRoute(kind, moves ? fault.service : "");
+      this->At(until, [this, kind] {
+        this->PublishRoute(kind, this->experiment.work[kind].service);
+      });
+      break;
+    }
     case FaultKind::kBurst:
       this->load = fault.factor;
       this->At(until, [this] { this->load = this->load == 0 ? 0 : 1; });
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -72,7 +72,7 @@
     KeyRow{"fault", "kind", ValueKind::kChoice, nullptr, 0, 0,
            "balancer_kill|balancer_stop|balancer_pause|power_off|backend_crash|"
            "backend_dark|backend_slow|backend_fail|release|centre_cut|"
-           "list_lapse|burst",
+           "list_lapse|burst|route_move|route_drop",
            "What happens."},
     KeyRow{"fault", "at_ms", ValueKind::kInteger, nullptr, 0, 3600000, "",
            "When, in milliseconds from the start of the load."},
@@ -83,7 +83,10 @@
     KeyRow{"fault", "factor", ValueKind::kDecimal, "1", 0, 1000, "",
            "How strong: times as slow, share that fails, times the load."},
     KeyRow{"fault", "service", ValueKind::kWord, "", 0, 0, "",
-           "Service of the backend servers concerned."},
+           "Service of the backend servers concerned, or that a route moves "
+           "to."},
+    KeyRow{"fault", "work", ValueKind::kWord, "", 0, 0, "",
+           "Kind of work whose route moves or goes."},
     KeyRow{"fault", "data_centre", ValueKind::kWord, "", 0, 0, "",
            "Data centre concerned; none: drawn from the seed."},
     KeyRow{"variant", "check_wait_ms", ValueKind::kInteger, "150", 10, 60000,
