--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -48,6 +49,41 @@
   kReload,
 };
 constexpr int kDeeds = 11;
+constexpr std::array<const char*, kDeeds> kDeedWords = {
+    "kill_balancer", "stop_balancer", "pause_balancer", "kill_server",
+    "stop_server",   "pause_server",  "disturb_store",  "disturb_all_stores",
+    "restart_store", "publish",       "reload"};
+
+/** One fault from outside. */
+struct Fault {
+  Deed deed = Deed::kPublish;
+  size_t balancer = 0;  ///< The balancer, its path to the store included.
+  size_t server = 0;
+  Milliseconds span{0};
+  ProxyMode mode = ProxyMode::kPass;
+};
+
+/** A fault at a time after the begin of the load. */
+struct PlannedFault {
+  Milliseconds at{0};
+  Fault fault;
+};
+
+/** The demo: a balancer is killed, a backend server drains, and a release
+ * replaces balancers and backend servers in turn. */
+constexpr std::array kDemo = {
+    PlannedFault{Milliseconds(2000),
+                 {Deed::kKillBalancer, 0, 0, Milliseconds(1500)}},
+    PlannedFault{Milliseconds(5000),
+                 {Deed::kStopServer, 0, 2, Milliseconds(1000)}},
+    PlannedFault{Milliseconds(7000), {Deed::kPublish, 0, 0, Milliseconds(0)}},
+    PlannedFault{Milliseconds(8000),
+                 {Deed::kStopBalancer, 1, 0, Milliseconds(1500)}},
+    PlannedFault{Milliseconds(12000),
+                 {Deed::kStopServer, 0, 4, Milliseconds(1000)}},
+    PlannedFault{Milliseconds(13000),
+                 {Deed::kStopBalancer, 2, 0, Milliseconds(1500)}}};
+constexpr Seconds kDemoLength{17};
 
 /** Draws faults, plays the callers and checks the promises. */
 class Soak {
@@ -75,12 +111,31 @@
     this->faults_end = this->begun_at + this->length;
     this->ends_at = this->faults_end + kCalmBeforeCheck + kChecked;
     this->next_fault = this->begun_at + Seconds(2);
+    return this->Play();
+  }
+
+  /** Plays the demo's faults in place of drawn ones. */
+  bool RunDemo() {
+    this->begun_at = ReadClock() + kLead;
+    this->faults_end = this->begun_at + kDemoLength;
+    this->ends_at = this->faults_end + kCalmBeforeCheck + kChecked;
+    this->next_fault = kNever;
+    for (const PlannedFault& planned : kDemo)
+      this->Later(this->begun_at + planned.at, [this, fault = planned.fault] {
+        this->Begin(fault, ReadClock());
+      });
+    const bool sound = this->Play();
+    this->PrintFigures();
+    return sound;
+  }
+
+ private:
+  bool Play() {
     this->WaitForTick();
     this->context.run();
     return this->Check(this->fleet.ConfigVersions());
   }
 
- private:
   void WaitForTick() {
     this->tick.expires_after(kTick);
     this->tick.async_wait([this](const asio::error_code&) {
@@ -141,27 +196,36 @@
     this->due.emplace(when, std::move(deed));
   }
 
+  Fault DrawFault() {
+    const auto deed = static_cast<Deed>(DrawIndex(this->random, kDeeds));
+    const Milliseconds span(500 + DrawIndex(this->random, 3000));
+    const size_t balancer =
+        DrawIndex(this->random, this->fleet.Balancers().size());
+    const size_t server = DrawIndex(this->random, this->fleet.Servers().size());
+    const auto mode =
+        static_cast<ProxyMode>(1 + DrawIndex(this->random, kProxyModes - 1));
+    return {deed, balancer, server, span, mode};
+  }
+
   void Strike(TimePoint now) {
     this->next_fault =
         now + Milliseconds(
                   200 + DrawIndex(this->random,
                                   2 * static_cast<size_t>(kMeanPause.count())));
-    const auto deed = static_cast<Deed>(DrawIndex(this->random, kDeeds));
-    const TimePoint until =
-        now + Milliseconds(500 + DrawIndex(this->random, 3000));
-    Process& balancer = this->fleet.Balancers()[DrawIndex(
-        this->random, this->fleet.Balancers().size())];
-    Process& server =
-        this->fleet
-            .Servers()[DrawIndex(this->random, this->fleet.Servers().size())];
-    const size_t proxy = DrawIndex(this->random, this->fleet.Proxies().size());
-    const auto mode =
-        static_cast<ProxyMode>(1 + DrawIndex(this->random, kProxyModes - 1));
+    this->Begin(this->DrawFault(), now);
+  }
+
+  void Begin(const Fault& fault, TimePoint now) {
     std::cout << "fault at_ms="
               << std::chrono::duration_cast<Milliseconds>(now - this->begun_at)
                      .count()
-              << " deed=" << static_cast<int>(deed) << "\n";
-    switch (deed) {
+              << " deed=" << kDeedWords.at(static_cast<size_t>(fault.deed))
+              << " balancer=" << fault.balancer << " server=" << fault.server
+              << " for_ms=" << fault.span.count() << "\n";
+    const TimePoint until = now + fault.span;
+    Process& balancer = this->fleet.Balancers()[fault.balancer];
+    Process& server = this->fleet.Servers()[fault.server];
+    switch (fault.deed) {
       case Deed::kKillBalancer:
         this->End(balancer, SIGKILL, until);
         break;
@@ -186,18 +250,12 @@
         this->Pause(server, until);
         break;
       case Deed::kProxy:
-        this->fleet.Proxies()[proxy]->SetMode(mode);
-        this->Later(until, [this, proxy] {
-          this->fleet.Proxies()[proxy]->SetMode(ProxyMode::kPass);
-        });
+        this->Disturb(*this->fleet.Proxies()[fault.balancer], fault.mode,
+                      until);
         break;
       case Deed::kProxies:
         for (const auto& one : this->fleet.Proxies())
-          one->SetMode(mode);
-        this->Later(until, [this] {
-          for (const auto& one : this->fleet.Proxies())
-            one->SetMode(ProxyMode::kPass);
-        });
+          this->Disturb(*one, fault.mode, until);
         break;
       case Deed::kRestartStore:
         this->End(this->fleet.Store(), SIGKILL, until);
@@ -211,6 +269,11 @@
     }
   }
 
+  void Disturb(Proxy& proxy, ProxyMode mode, TimePoint until) {
+    proxy.SetMode(mode);
+    this->Later(until, [&proxy] { proxy.SetMode(ProxyMode::kPass); });
+  }
+
   void End(Process& process, int signal, TimePoint until) {
     process.ExpectEnd();
     process.Signal(SIGCONT);
@@ -311,6 +374,45 @@
     return this->breaks.empty();
   }
 
+  void PrintFigures() const {
+    size_t resets = 0;
+    for (const emulate::CallerModel& caller : this->callers)
+      resets += caller.Resets().size();
+    std::cout << "figure=broken_promises value=" << this->breaks.size()
+              << " unit=promises\nfigure=flows_reset value=" << resets
+              << " unit=flows\n";
+    for (size_t kind = 0; kind < this->fleet.Kinds().size(); ++kind)
+      this->PrintKind(kind);
+  }
+
+  void PrintKind(size_t kind) const {
+    const emulate::WorkKind& work = this->fleet.Kinds()[kind];
+    std::vector<Milliseconds> times;
+    size_t asked = 0;
+    size_t in_time = 0;
+    for (const emulate::CallerModel& caller : this->callers) {
+      for (const emulate::RequestRecord& record : caller.Records()) {
+        if (record.kind != kind || record.asked_at > this->ends_at - Seconds(1))
+          continue;
+        ++asked;
+        if (record.end != emulate::RequestEnd::kDone)
+          continue;
+        times.push_back(std::chrono::duration_cast<Milliseconds>(
+            record.ended_at - record.asked_at));
+        in_time += times.back() <= work.target ? 1 : 0;
+      }
+    }
+    std::ranges::sort(times);
+    const auto at = [&times](size_t percent) {
+      return times.empty() ? Milliseconds(0)
+                           : times[(times.size() - 1) * percent / 100];
+    };
+    std::cout << "figure=" << work.name << " asked=" << asked
+              << " answered=" << times.size() << " in_time=" << in_time
+              << " p50_ms=" << at(50).count() << " p99_ms=" << at(99).count()
+              << "\n";
+  }
+
   uint64_t seed;
   RandomEngine random;
   Seconds length;
@@ -334,10 +436,11 @@
 bool PlaySeed(uint64_t seed,
               Seconds length,
               const std::string& directory,
-              const std::string& bin) {
+              const std::string& bin,
+              bool is_demo) {
   try {
     Soak soak(seed, length, directory, bin);
-    return soak.Run();
+    return is_demo ? soak.RunDemo() : soak.Run();
   } catch (const std::exception& error) {
     std::cout << "soak seed=" << seed << " error=\"" << error.what() << "\"\n";
     return false;
@@ -353,8 +456,9 @@
     const std::string directory =
         options["dir"].as<std::string>() + "/seed-" + std::to_string(seed);
     std::filesystem::remove_all(directory);
-    const bool sound = PlaySeed(seed, Seconds(options["seconds"].as<int>()),
-                                directory, options["bin"].as<std::string>());
+    const bool sound =
+        PlaySeed(seed, Seconds(options["seconds"].as<int>()), directory,
+                 options["bin"].as<std::string>(), options.count("demo") != 0);
     held = held && sound;
     if (sound)
       std::filesystem::remove_all(directory);
@@ -372,6 +476,7 @@
                            "Faults from outside against the real programs");
   options.add_options()("seed", "First seed",
                         value<uint64_t>()->default_value("1"))(
+      "demo", "A fixed series of faults, and figures at the end")(
       "runs", "Seeds in a row", value<int>()->default_value("1"))(
       "seconds", "Length of the faults", value<int>()->default_value("10"))(
       "dir", "Directory for logs; those of a failed seed are kept",
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -141,5 +141,5 @@
 "$bin/cuminvanectl" status --balancers "$control" || true
 "$bin/cuminvanectl" targets --balancers "$control" | grep data_centre=all || true
 "$bin/cuminvane-standin" --role figures --dir "$run" --config "$run/config.ini" || { keep=yes; exit 1; }
-echo "opaque flows: real programs under faults from outside"
-build/release/cuminvane_soak --seed "$seed" --seconds 10 --dir "$run/soak" || { keep=yes; exit 1; }
+echo "opaque flows: a balancer killed, two stopped, two backend servers drained, a new configuration"
+build/release/cuminvane_soak --demo --seed "$seed" --dir "$run/soak" || { keep=yes; exit 1; }
