--- a/src/message/message_func.h
+++ b/src/message/message_func.h
@@ -8,6 +8,9 @@
 #include <string_view>
 
 #include "base/result_type.h"
+#include "message/message_backend_type.h"
+#include "message/message_caller_type.h"
+#include "message/message_peer_type.h"
 #include "message/message_type.h"
 
 namespace cuminvane {
--- /dev/null
+++ b/src/request/feed_base.h
@@ -0,0 +1,122 @@
+/** @file feed_base.h Feeds that callers follow, from a backend server through
+ * any balancer. */
+
+#ifndef CUMINVANE_REQUEST_FEED_BASE_H_
+#define CUMINVANE_REQUEST_FEED_BASE_H_
+
+#include <string_view>
+
+#include "decision/drop_func.h"
+#include "request/arrival_func.h"
+#include "request/reply_func.h"
+
+namespace cuminvane {
+
+/**
+ * Carries feeds.
+ *
+ * @tparam Placement Chooses backend servers for feeds.
+ */
+template <class Placement>
+class FeedRelay {
+ public:
+  /** @param placement Must outlive this. */
+  explicit FeedRelay(Placement& placement) : placement(placement) {}
+
+  /** Any balancer may carry a feed; what it would have to remember comes back
+   * with every event. */
+  void OnFollow(const ShardCall& call, const Arrival& arrival) {
+    const Result<Follow> follow = Decode<Follow>(arrival.bytes, arrival.header);
+    if (!follow) {
+      NoteDrop(follow.error().code, "follow", call.out);
+      return;
+    }
+    const Follow& message = follow.value();
+    const Result<FlowToken> token =
+        VerifyToken(call, arrival, message.flow, message.number, message.token);
+    if (!token)
+      return;
+    const Holder preferred{token.value().backend,
+                           token.value().backend_incarnation};
+    const Result<Target> target =
+        this->placement.ForFeed(token.value().service, preferred, message.flow,
+                                message.attempt, call.now);
+    if (!target) {
+      NoteDrop(target.error().code, "follow", call.out);
+      return;
+    }
+    const Route route{RouteKind::kLocal,
+                      ResultCode::kOk,
+                      target.value().vm,
+                      {},
+                      target.value().reason};
+    LogRoute("follow", message.flow, message.number, route, call.out);
+    const Subscribe subscribe{arrival.path,
+                              message.flow,
+                              message.number,
+                              message.position,
+                              ToWire(call.now + kFeedLease),
+                              message.topic};
+    call.out.datagrams.push_back(
+        {Lane::kBackend, target.value().address, Encode(subscribe)});
+  }
+
+  /** Handles a caller that ends a feed. */
+  void OnUnfollow(const ShardCall& call, const Arrival& arrival) {
+    const Result<Unfollow> unfollow =
+        Decode<Unfollow>(arrival.bytes, arrival.header);
+    if (!unfollow) {
+      NoteDrop(unfollow.error().code, "follow", call.out);
+      return;
+    }
+    const Unfollow& message = unfollow.value();
+    const Result<FlowToken> token =
+        VerifyToken(call, arrival, message.flow, message.number, message.token);
+    if (!token)
+      return;
+    // If the feed has moved, its lease ends it.
+    const Endpoint backend = this->placement.AddressOf(token.value().backend);
+    call.out.datagrams.push_back(
+        {Lane::kBackend, backend,
+         Encode(Unsubscribe{message.flow, message.number})});
+  }
+
+  /** Passes an event on to its caller. */
+  static void OnPublishedEvent(std::string_view bytes,
+                               const Header& header,
+                               Output& out) {
+    const Result<PublishedEvent> event = Decode<PublishedEvent>(bytes, header);
+    if (!event) {
+      NoteDrop(event.error().code, "backend", out);
+      return;
+    }
+    const PublishedEvent& message = event.value();
+    const FeedEvent forwarded{message.flow, message.number, message.position,
+                              message.previous, message.payload};
+    SendToCaller(message.path, Encode(forwarded), out);
+  }
+
+  /** Passes on the word that a feed has begun. */
+  static void OnSubscribed(std::string_view bytes,
+                           const Header& header,
+                           Output& out) {
+    const Result<Subscribed> subscribed = Decode<Subscribed>(bytes, header);
+    if (!subscribed) {
+      NoteDrop(subscribed.error().code, "backend", out);
+      return;
+    }
+    const Subscribed& message = subscribed.value();
+    SendToCaller(message.path, Encode(Following{message.flow, message.number}),
+                 out);
+  }
+
+ private:
+  /** Callers renew far more often; a feed nobody renews ends with it. */
+  static constexpr Seconds kFeedLease{30};
+
+  Placement& placement;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_REQUEST_FEED_BASE_H_
--- a/src/request/node_base.h
+++ b/src/request/node_base.h
@@ -13,11 +13,11 @@
 #include "member/control_base.h"
 #include "message/message_func.h"
 #include "placement/placement_shared_base.h"
-#include "request/reply_func.h"
-#include "request/route_func.h"
+#include "request/feed_base.h"
+#include "request/opening_base.h"
 #include "request/shard_base.h"
+#include "request/takeover_base.h"
 #include "request/token_func.h"
-#include "request/witness_base.h"
 
 namespace cuminvane {
 
@@ -48,11 +48,13 @@
 
   /** @param settings Must outlive the node; its incarnation must be set. */
   explicit Node(const Settings& settings)
-      : settings(settings), control(settings) {
+      : control(settings),
+        opener(settings.requests.witnessed, this->placement),
+        feeds(this->placement),
+        takeover(settings) {
     for (int index = 0; index < settings.shards; ++index) {
       this->shards.emplace_back(static_cast<uint8_t>(index), settings.requests,
                                 this->placement);
-      this->witnesses.emplace_back(settings.requests.records_per_shard);
     }
   }
 
@@ -91,10 +93,10 @@
     }
     switch (header.value().type) {
       case MessageType::kPublishedEvent:
-        this->OnPublishedEvent(bytes, header.value(), out);
+        this->feeds.OnPublishedEvent(bytes, header.value(), out);
         break;
       case MessageType::kSubscribed:
-        this->OnSubscribed(bytes, header.value(), out);
+        this->feeds.OnSubscribed(bytes, header.value(), out);
         break;
       case MessageType::kAccepted:
         this->ForRun<Accepted>(now, bytes, header.value(),
@@ -138,7 +140,7 @@
         this->OnRelay(now, bytes, header.value(), random, out);
         break;
       case MessageType::kIntent:
-        this->OnIntent(now, from, bytes, header.value(), out);
+        this->takeover.OnIntent(now, from, bytes, header.value(), out);
         break;
       case MessageType::kIntentReply:
         this->OnIntentReply(now, bytes, header.value(), random, out);
@@ -177,8 +179,7 @@
     const ShardCall call{now, *view, random, out};
     for (auto& shard : this->shards)
       shard.With([&](NodeShard& part) { part.Tick(call); });
-    for (auto& witness : this->witnesses)
-      witness.With([now](WitnessTable& table) { table.Tick(now); });
+    this->takeover.Tick(now);
   }
 
   /** As ControlPlane::BeginStop. */
@@ -231,10 +232,6 @@
 
  private:
   static constexpr Milliseconds kPlacementSync{100};
-  /** Clocks of two VMs may differ by less than this. */
-  static constexpr Seconds kClosureMargin{2};
-  /** Callers renew far more often; a feed nobody renews ends with it. */
-  static constexpr Seconds kFeedLease{30};
 
   template <class Message>
   static Result<Message> DecodeAs(std::string_view bytes) {
@@ -247,33 +244,6 @@
                         this->shards.size()];
   }
 
-  Guarded<WitnessTable, Mutex>& WitnessOf(FlowId flow) {
-    return this->witnesses[XXH3_64bits(&flow.value, sizeof(flow.value)) %
-                           this->witnesses.size()];
-  }
-
-  /** Whether new flows get a witness: a setting, since witnesses cost control
-   * traffic. */
-  HandoverWish Wish() const {
-    return {this->settings.requests.witnessed, VmId{}};
-  }
-
-  void LogRoute(const char* event,
-                FlowId flow,
-                RequestNumber number,
-                const Route& route,
-                Output& out) {
-    Decision decision;
-    decision.topic = Topic::kRouting;
-    decision.event = event;
-    decision.reason = route.reason;
-    decision.flow = flow;
-    decision.number = number;
-    decision.vm = route.peer;
-    decision.code = route.code;
-    out.decisions.push_back(decision);
-  }
-
   /** Handles a caller's packet, from the fabric or from a peer. */
   void OnCallerPacket(TimePoint now,
                       const CallerPath& path,
@@ -295,19 +265,19 @@
     const Arrival arrival{path, bytes, header.value(), hops};
     switch (header.value().type) {
       case MessageType::kOpen:
-        this->OnOpen(call, arrival);
+        this->opener.OnOpen(call, arrival);
         break;
       case MessageType::kReopen:
-        this->OnReopen(call, arrival);
+        this->opener.OnReopen(call, arrival);
         break;
       case MessageType::kRequest:
         this->OnRequest(call, arrival);
         break;
       case MessageType::kFollow:
-        this->OnFollow(call, arrival);
+        this->feeds.OnFollow(call, arrival);
         break;
       case MessageType::kUnfollow:
-        this->OnUnfollow(call, arrival);
+        this->feeds.OnUnfollow(call, arrival);
         break;
       case MessageType::kNeedParts:
         this->ToHolder<NeedParts>(
@@ -333,111 +303,6 @@
     }
   }
 
-  /** A caller's packet with what is known of it. */
-  struct Arrival {
-    CallerPath path;
-    std::string_view bytes;
-    Header header;
-    int hops = 0;  ///< Relays it has taken.
-  };
-
-  void OnOpen(const ShardCall& call, const Arrival& arrival) {
-    const Result<Open> open = Decode<Open>(arrival.bytes, arrival.header);
-    if (!open) {
-      NoteDrop(open.error().code, "open", call.out);
-      return;
-    }
-    const Service* const service =
-        FindService(*call.board.config.value, arrival.path.service);
-    if (service == nullptr) {
-      NoteDrop(ResultCode::kUnknownService, "open", call.out);
-      return;
-    }
-    const Result<Target> target =
-        this->placement.ForFlow(service->id, call.now, call.random);
-    if (!target) {
-      this->AnswerOpen(call, arrival, open.value().nonce, FlowToken{},
-                       target.error().code);
-      return;
-    }
-    FlowToken token;
-    token.flow = FlowId{DrawId(call.random)};
-    token.service = service->id;
-    token.backend = target.value().vm;
-    token.backend_incarnation = target.value().incarnation;
-    token = AssignOwner(call.board, token, this->Wish());
-    Decision decision;
-    decision.topic = Topic::kPlacement;
-    decision.event = "open";
-    decision.reason = target.value().reason;
-    decision.flow = token.flow;
-    decision.vm = token.backend;
-    call.out.decisions.push_back(decision);
-    this->AnswerOpen(call, arrival, open.value().nonce, token, ResultCode::kOk);
-  }
-
-  void AnswerOpen(const ShardCall& call,
-                  const Arrival& arrival,
-                  uint64_t nonce,
-                  const FlowToken& token,
-                  ResultCode code) {
-    std::string sealed;
-    if (code == ResultCode::kOk) {
-      Result<std::string> sealing =
-          SealToken(token, call.board.config.value->keys);
-      if (!sealing) {
-        NoteDrop(sealing.error().code, "open", call.out);
-        return;
-      }
-      sealed = std::move(sealing).value();
-    }
-    const Opened opened{nonce,
-                        token.flow,
-                        MakeBlob(sealed),
-                        ToWire(call.now),
-                        static_cast<uint16_t>(code),
-                        token.fence};
-    const std::string reply = Encode(opened);
-    // The sender is not verified, so it never gets back more than it sent.
-    if (reply.size() > arrival.bytes.size()) {
-      NoteDrop(ResultCode::kReplyTooLarge, "open", call.out);
-      return;
-    }
-    SendToCaller(arrival.path, reply, call.out);
-  }
-
-  void OnReopen(const ShardCall& call, const Arrival& arrival) {
-    const Result<Reopen> reopen = Decode<Reopen>(arrival.bytes, arrival.header);
-    if (!reopen) {
-      NoteDrop(reopen.error().code, "reopen", call.out);
-      return;
-    }
-    const Result<FlowToken> known =
-        this->Verify(call, arrival, reopen.value().flow, RequestNumber{},
-                     reopen.value().token);
-    if (!known)
-      return;
-    if (reopen.value().keepalive && CanStay(call.board, known.value())) {
-      const Opened stays{
-          reopen.value().nonce, known.value().flow, {}, ToWire(call.now), 0,
-          known.value().fence};
-      SendToCaller(arrival.path, Encode(stays), call.out);
-      return;
-    }
-    FlowToken token = known.value();
-    token = AssignOwner(call.board, token, this->Wish());
-    token.fence = std::max(token.fence, reopen.value().highest);
-    this->LogRoute("reopen", token.flow, token.fence,
-                   {RouteKind::kLocal,
-                    ResultCode::kOk,
-                    token.owner.vm,
-                    {},
-                    reopen.value().keepalive ? "keepalive" : "owner_lost"},
-                   call.out);
-    this->AnswerOpen(call, arrival, reopen.value().nonce, token,
-                     ResultCode::kOk);
-  }
-
   void OnRequest(const ShardCall& call, const Arrival& arrival) {
     const Result<Request> request =
         Decode<Request>(arrival.bytes, arrival.header);
@@ -446,24 +311,24 @@
       return;
     }
     const Request& message = request.value();
-    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
-                                                 message.number, message.token);
+    const Result<FlowToken> token =
+        VerifyToken(call, arrival, message.flow, message.number, message.token);
     if (!token)
       return;
     const Route route = RouteRequest(call.board, token.value(),
                                      message.work_class, arrival.hops);
-    this->LogRoute("request", message.flow, message.number, route, call.out);
+    LogRoute("request", message.flow, message.number, route, call.out);
     if (route.kind == RouteKind::kInherit) {
-      this->GoOn(call, arrival.path, token.value(), message,
-                 Testimony::kNeverDispatched, RequestNumber{});
+      this->takeover.GoOn(call, arrival.path, token.value(), message,
+                          Testimony::kNeverDispatched, RequestNumber{});
       return;
     }
     if (route.kind == RouteKind::kTakeOver) {
-      this->TakeOver(call, arrival.path, token.value(), message);
+      this->takeover.TakeOver(call, arrival.path, token.value(), message);
       return;
     }
     if (route.kind != RouteKind::kLocal) {
-      this->FollowRoute(route, arrival, message.flow, message.number, call.out);
+      FollowRoute(route, arrival, message.flow, message.number, call.out);
       return;
     }
     this->ShardOf(message.flow).With([&](NodeShard& shard) {
@@ -471,134 +336,6 @@
     });
   }
 
-  /** The owner is out of reach: it is closed, and the caller told what is known
-   * of the request. */
-  void TakeOver(const ShardCall& call,
-                const CallerPath& path,
-                const FlowToken& token,
-                const Request& request) {
-    const TimePoint forget_at =
-        call.now + this->settings.requests.deadline_limit + kClosureMargin;
-    RequestNumber announced;
-    Testimony testimony = Testimony::kMayHaveRun;
-    this->WitnessOf(request.flow).With([&](WitnessTable& witness) {
-      testimony =
-          witness.Close(request.flow, token.owner, request.number, forget_at);
-      announced = witness.HighestAnnounced(request.flow);
-    });
-    this->GoOn(call, path, token, request, testimony, announced);
-  }
-
-  /**
-   * Gives a flow whose owner is gone its next owner, and tells the caller what
-   * is known of its request.
-   */
-  void GoOn(const ShardCall& call,
-            const CallerPath& path,
-            const FlowToken& token,
-            const Request& request,
-            Testimony testimony,
-            RequestNumber announced) {
-    // What was known of it may be forgotten once its deadline has passed.
-    const bool too_late = FromWire(request.deadline) <= call.now;
-    const bool moved = testimony == Testimony::kNeverDispatched && !too_late &&
-                       request.number > token.fence;
-    const ResultCode code =
-        moved ? ResultCode::kMoved : ResultCode::kOutcomeUnknown;
-    FlowToken next = AssignOwner(call.board, token, this->Wish());
-    next.fence = std::max({token.fence, announced, request.number});
-    this->LogRoute("take_over", request.flow, request.number,
-                   {RouteKind::kTakeOver,
-                    code,
-                    token.owner.vm,
-                    {},
-                    moved ? "never_dispatched" : "may_have_run"},
-                   call.out);
-    SendNextToken(call.board, path, request.number, code, next, call.out);
-  }
-
-  /** Any balancer may carry a feed; what it would have to remember comes back
-   * with every event. */
-  void OnFollow(const ShardCall& call, const Arrival& arrival) {
-    const Result<Follow> follow = Decode<Follow>(arrival.bytes, arrival.header);
-    if (!follow) {
-      NoteDrop(follow.error().code, "follow", call.out);
-      return;
-    }
-    const Follow& message = follow.value();
-    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
-                                                 message.number, message.token);
-    if (!token)
-      return;
-    const Holder preferred{token.value().backend,
-                           token.value().backend_incarnation};
-    const Result<Target> target =
-        this->placement.ForFeed(token.value().service, preferred, message.flow,
-                                message.attempt, call.now);
-    if (!target) {
-      NoteDrop(target.error().code, "follow", call.out);
-      return;
-    }
-    const Route route{RouteKind::kLocal,
-                      ResultCode::kOk,
-                      target.value().vm,
-                      {},
-                      target.value().reason};
-    this->LogRoute("follow", message.flow, message.number, route, call.out);
-    const Subscribe subscribe{arrival.path,
-                              message.flow,
-                              message.number,
-                              message.position,
-                              ToWire(call.now + kFeedLease),
-                              message.topic};
-    call.out.datagrams.push_back(
-        {Lane::kBackend, target.value().address, Encode(subscribe)});
-  }
-
-  void OnUnfollow(const ShardCall& call, const Arrival& arrival) {
-    const Result<Unfollow> unfollow =
-        Decode<Unfollow>(arrival.bytes, arrival.header);
-    if (!unfollow) {
-      NoteDrop(unfollow.error().code, "follow", call.out);
-      return;
-    }
-    const Unfollow& message = unfollow.value();
-    const Result<FlowToken> token = this->Verify(call, arrival, message.flow,
-                                                 message.number, message.token);
-    if (!token)
-      return;
-    // If the feed has moved, its lease ends it.
-    const Endpoint backend = this->placement.AddressOf(token.value().backend);
-    call.out.datagrams.push_back(
-        {Lane::kBackend, backend,
-         Encode(Unsubscribe{message.flow, message.number})});
-  }
-
-  void OnPublishedEvent(std::string_view bytes,
-                        const Header& header,
-                        Output& out) {
-    const Result<PublishedEvent> event = Decode<PublishedEvent>(bytes, header);
-    if (!event) {
-      NoteDrop(event.error().code, "backend", out);
-      return;
-    }
-    const PublishedEvent& message = event.value();
-    const FeedEvent forwarded{message.flow, message.number, message.position,
-                              message.previous, message.payload};
-    SendToCaller(message.path, Encode(forwarded), out);
-  }
-
-  void OnSubscribed(std::string_view bytes, const Header& header, Output& out) {
-    const Result<Subscribed> subscribed = Decode<Subscribed>(bytes, header);
-    if (!subscribed) {
-      NoteDrop(subscribed.error().code, "backend", out);
-      return;
-    }
-    const Subscribed& message = subscribed.value();
-    SendToCaller(message.path, Encode(Following{message.flow, message.number}),
-                 out);
-  }
-
   /** Handles a message about a request that one balancer holds. */
   template <class Message, class Handle>
   void ToHolder(const ShardCall& call, const Arrival& arrival, Handle handle) {
@@ -610,55 +347,20 @@
     }
     const Message& body = message.value();
     const Result<FlowToken> token =
-        this->Verify(call, arrival, body.flow, body.number, body.token);
+        VerifyToken(call, arrival, body.flow, body.number, body.token);
     if (!token)
       return;
     const Holder holder =
         body.holder == Holder{} ? token.value().owner : body.holder;
     const Route route = RouteToHolder(call.board, holder, arrival.hops);
     if (route.kind != RouteKind::kLocal) {
-      this->FollowRoute(route, arrival, body.flow, body.number, call.out);
+      FollowRoute(route, arrival, body.flow, body.number, call.out);
       return;
     }
     this->ShardOf(body.flow).With(
         [&](NodeShard& shard) { handle(shard, body); });
   }
 
-  /** Checks the token; a packet with a bad one is counted, and its sender told
-   * in no more bytes than it sent. */
-  Result<FlowToken> Verify(const ShardCall& call,
-                           const Arrival& arrival,
-                           FlowId flow,
-                           RequestNumber number,
-                           const Blob& token) {
-    Result<FlowToken> checked =
-        CheckToken(call.board, arrival.path.service, flow, token);
-    if (checked)
-      return checked;
-    const ResultCode code = checked.error().code;
-    NoteDrop(code, "token", call.out);
-    const std::string reply =
-        Encode(Verdict{flow, number, static_cast<uint16_t>(code), {}, {}});
-    if (reply.size() <= arrival.bytes.size())
-      SendToCaller(arrival.path, reply, call.out);
-    return checked;
-  }
-
-  void FollowRoute(const Route& route,
-                   const Arrival& arrival,
-                   FlowId flow,
-                   RequestNumber number,
-                   Output& out) {
-    if (route.kind == RouteKind::kRefuse) {
-      SendVerdict(arrival.path, flow, number, route.code, out);
-      return;
-    }
-    const Relay relay{arrival.path.caller, arrival.path.service,
-                      arrival.path.fabric, MakeBlob(arrival.bytes),
-                      static_cast<uint8_t>(arrival.hops + 1)};
-    out.datagrams.push_back({Lane::kPeer, route.peer_address, Encode(relay)});
-  }
-
   void OnRelay(TimePoint now,
                std::string_view bytes,
                const Header& header,
@@ -677,30 +379,6 @@
                          out);
   }
 
-  void OnIntent(TimePoint now,
-                const Endpoint& from,
-                std::string_view bytes,
-                const Header& header,
-                Output& out) {
-    const Result<Intent> intent = Decode<Intent>(bytes, header);
-    if (!intent) {
-      NoteDrop(intent.error().code, "peer", out);
-      return;
-    }
-    const Intent& message = intent.value();
-    const auto left = std::min(Milliseconds(message.left_ms),
-                               this->settings.requests.deadline_limit);
-    const TimePoint forget_at = now + left + kClosureMargin;
-    const bool granted =
-        this->WitnessOf(message.flow).With([&](WitnessTable& witness) {
-          return witness.Announce(message.flow, message.owner, message.number,
-                                  forget_at);
-        });
-    const IntentReply reply{message.flow, message.number, granted,
-                            this->settings.incarnation};
-    out.datagrams.push_back({Lane::kPeer, from, Encode(reply)});
-  }
-
   void OnIntentReply(TimePoint now,
                      std::string_view bytes,
                      const Header& header,
@@ -755,12 +433,12 @@
     this->placement.Sync(*view->vms.value, *view->config.value, now);
   }
 
-  const Settings& settings;
   ControlPlane<Mutex> control;
   Placement placement;
+  FlowOpener<Placement> opener;
+  FeedRelay<Placement> feeds;
+  Takeover<Mutex> takeover;
   std::deque<Guarded<NodeShard, Mutex>> shards;
-  std::deque<Guarded<WitnessTable, Mutex>>
-      witnesses;  ///< By flow, as the shards.
   TimePoint
       next_placement_sync;  ///< Only the thread that calls Tick touches it.
 };
--- /dev/null
+++ b/tests/feed_test.cc
@@ -0,0 +1,74 @@
+/** @file feed_test.cc Feeds over a fleet in virtual time, under faults. */
+
+#include "tests/fleet_fake.h"
+#include "tests/test_text.h"
+
+using namespace cuminvane;
+
+TEST_GROUP(Feeds){
+    /** Every event once, in order, without a gap. */
+    static void CheckContinuous(const FakeFleet& fleet, size_t least){
+        constexpr int64_t kPeriodUs = 200000;
+CHECK(fleet.feed_events.size() >= least);
+for (size_t event = 1; event < fleet.feed_events.size(); ++event)
+  LONGS_EQUAL(fleet.feed_events[event - 1].position + kPeriodUs,
+              fleet.feed_events[event].position);
+}
+
+static int BackendOf(FakeFleet& fleet, FlowHandle flow) {
+  const auto view = fleet.NodeOf(fleet.OwnerOf(flow)).Beliefs();
+  return static_cast<int>(
+             OpenToken(fleet.caller.TokenOf(flow), view->config.value->keys)
+                 .value()
+                 .backend.value) -
+         100;
+}
+}
+;
+
+TEST(Feeds, EventsComeOnceInOrderThroughLossCopiesAndDisorder) {
+  FleetOptions options;
+  options.loss = 0.1;
+  options.duplicate = 0.1;
+  options.jitter = Milliseconds(300);
+  FakeFleet fleet(options);
+  const FlowHandle flow = fleet.OpenFlow();
+  fleet.caller.FollowFeed(fleet.now, flow, "orders", 0);
+  fleet.RunFor(Seconds(30));
+  CheckContinuous(fleet, 130);
+}
+
+TEST(Feeds, GoOnWhenTheBalancersTheyCameThroughDieOrStop) {
+  FakeFleet fleet({});
+  const FlowHandle flow = fleet.OpenFlow();
+  fleet.caller.FollowFeed(fleet.now, flow, "orders", 0);
+  fleet.RunFor(Seconds(5));
+  fleet.Kill(1);
+  fleet.SprayAround(1);
+  fleet.RunFor(Seconds(8));
+  CheckContinuous(fleet, 60);
+  fleet.Stop(2);
+  fleet.SprayOver({3});
+  fleet.RunFor(Seconds(2));
+  fleet.EndStop(2);
+  fleet.RunFor(Seconds(8));
+  CheckContinuous(fleet, 110);
+}
+
+TEST(Feeds, GoOnWhenTheirBackendServerDrainsOrDies) {
+  FakeFleet fleet({});
+  const FlowHandle flow = fleet.OpenFlow();
+  const int backend = BackendOf(fleet, flow);
+  fleet.caller.FollowFeed(fleet.now, flow, "orders", 0);
+  fleet.RunFor(Seconds(5));
+  fleet.PublishConfig(
+      2, "[change d]\nkind = drain\nvm = " + std::to_string(100 + backend) +
+             "\nbegins_at = 1970-01-01T00:00:00Z\n");
+  fleet.RunFor(Seconds(8));
+  CheckContinuous(fleet, 60);
+  fleet.PublishConfig(3);
+  fleet.RunFor(Seconds(5));
+  fleet.KillBackend(backend);
+  fleet.RunFor(Seconds(10));
+  CheckContinuous(fleet, 130);
+}
