--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -14,6 +16,7 @@
 #include "control/control_func.h"
 #include "document/config_func.h"
 #include "document/document_func.h"
+#include "document/preview_func.h"
 #include "document/settings_func.h"
 #include "document/vmlist_func.h"
 #include "shell/explain_func.h"
@@ -222,27 +225,84 @@
   return ResultCode::kOk;
 }
 
+/** A configuration file that was checked. */
+struct ReadConfig {
+  Config config;
+  SectionTexts sections;
+};
+
+/** @return The file's configuration; what is wrong with it has been told. */
+std::optional<ReadConfig> ReadCheckedConfig(const std::string& path) {
+  const Result<std::string> text = ReadFile(path);
+  if (!text) {
+    Complain(text.error());
+    return std::nullopt;
+  }
+  ConfigCheck check = CheckConfig(path, text.value());
+  if (!check.problems.empty()) {
+    std::cerr << FormatProblems(check.problems);
+    return std::nullopt;
+  }
+  IniProblems ignored;  // The check has found none.
+  return ReadConfig{std::move(check.config),
+                    Canonicalize(ReadIni(path, text.value(), ignored))};
+}
+
+/** @return Requests in progress at each backend server, over all balancers. */
+std::map<VmId, int64_t> BusyOf(const std::vector<BalancerStatus>& all) {
+  std::map<VmId, int64_t> busy;
+  for (const BalancerStatus& one : all) {
+    for (const Json::Value& backend : one.status["backends"])
+      busy[VmId{backend["vm"].asUInt64()}] += backend["outstanding"].asInt64();
+    for (const Json::Value& backend : one.status["opaque_backends"])
+      busy[VmId{backend["vm"].asUInt64()}] += backend["waiting"].asInt64();
+  }
+  return busy;
+}
+
+/** Tells what moves with a change, and whether the capacity left is enough. */
+ResultCode ShowPreview(const std::string& old_path,
+                       const std::string& new_path,
+                       const std::string& vms_path,
+                       const std::vector<std::string>& addresses) {
+  const std::optional<ReadConfig> before = ReadCheckedConfig(old_path);
+  const std::optional<ReadConfig> after = ReadCheckedConfig(new_path);
+  if (!before || !after)
+    return ResultCode::kInvalidDocument;
+  const Result<std::string> text = ReadFile(vms_path);
+  if (!text)
+    return Complain(text.error());
+  const VmListCheck vms = CheckVmList(vms_path, text.value());
+  if (!vms.problems.empty())
+    return ReportCheck(vms_path, vms.problems);
+  const std::vector<BalancerStatus> all = AskAll(addresses);
+  bool complete = true;
+  for (const BalancerStatus& one : all) {
+    if (one.answered)
+      continue;
+    std::cout << "balancer=" << one.address << " answered=no\n";
+    complete = false;
+  }
+  const Preview preview =
+      PreviewChange(before->config, after->config, vms.list, BusyOf(all));
+  std::cout << FormatPreview(preview);
+  if (!complete)
+    return ResultCode::kBalancerUnreachable;
+  return IsEnough(preview) ? ResultCode::kOk : ResultCode::kTargetsNotMet;
+}
+
 /** Tells what a change of the configuration changes, section by section. */
 ResultCode Diff(const std::string& old_path, const std::string& new_path) {
-  std::array<SectionTexts, 2> sections;
-  const std::array<std::string, 2> paths = {old_path, new_path};
-  for (size_t side = 0; side < paths.size(); ++side) {
-    const Result<std::string> text = ReadFile(paths[side]);
-    if (!text)
-      return Complain(text.error());
-    const ConfigCheck check = CheckConfig(paths[side], text.value());
-    if (!check.problems.empty()) {
-      std::cerr << FormatProblems(check.problems);
-      return ResultCode::kInvalidDocument;
-    }
-    IniProblems ignored;  // The check has found none.
-    sections[side] = Canonicalize(ReadIni(paths[side], text.value(), ignored));
-  }
-  const DocumentDelta delta = MakeDelta(sections[0], sections[1]);
+  const std::optional<ReadConfig> before = ReadCheckedConfig(old_path);
+  const std::optional<ReadConfig> after = ReadCheckedConfig(new_path);
+  if (!before || !after)
+    return ResultCode::kInvalidDocument;
+  const DocumentDelta delta = MakeDelta(before->sections, after->sections);
   for (const std::string& name : delta.removed)
     std::cout << "removed [" << name << "]\n";
   for (const SectionText& section : delta.changed)
-    std::cout << (sections[0].contains(section.name) ? "changed [" : "added [")
+    std::cout << (before->sections.contains(section.name) ? "changed ["
+                                                          : "added [")
               << section.name << "]\n"
               << section.body;
   return ResultCode::kOk;
@@ -267,6 +327,9 @@
     return Explain(words[1], {words.begin() + 2, words.end()});
   if (verb == "diff" && words.size() == 3)
     return Diff(words[1], words[2]);
+  if (verb == "preview" && words.size() == 3)
+    return ShowPreview(words[1], words[2], options["vms"].as<std::string>(),
+                       balancers);
   if (verb == "reference" && words.size() == 2)
     return Reference(words[1]);
   return Complain({ResultCode::kUsage,
@@ -287,6 +350,7 @@
       "  cuminvanectl watch --balancers A.B.C.D:PORT,... [--times N]\n"
       "  cuminvanectl log TOPIC SEVERITY --balancers A.B.C.D:PORT,...\n"
       "  cuminvanectl diff OLD NEW\n"
+      "  cuminvanectl preview OLD NEW --vms FILE [--balancers ...]\n"
       "  cuminvanectl explain FLOW|CALLER LOG...\n"
       "  cuminvanectl reference config|settings|vms|codes\n");
   options.add_options()(
@@ -296,8 +360,10 @@
       cxxopts::value<std::string>()->default_value("config"),
       "SORT")("balancers", "Control addresses, parted by commas",
               cxxopts::value<std::string>()->default_value(""), "LIST")(
-      "json", "Print JSON")("times", "Watch: how often, every 2 s",
-                            cxxopts::value<int>()->default_value("30"));
+      "vms", "Preview: the platform's list of VMs",
+      cxxopts::value<std::string>()->default_value("vms.ini"),
+      "FILE")("json", "Print JSON")("times", "Watch: how often, every 2 s",
+                                    cxxopts::value<int>()->default_value("30"));
   options.parse_positional({"command"});
   options.positional_help("COMMAND");
   return cuminvane::RunProgram(argc, argv, options, cuminvane::RunCommand);
--- a/tests/fuzz/decoders_fuzz.cc
+++ b/tests/fuzz/decoders_fuzz.cc
@@ -1,5 +1,6 @@
 /** @file decoders_fuzz.cc Everything that reads bytes from outside, for
- * libFuzzer; the first byte chooses the reader. Built with the preset fuzz. */
+ * libFuzzer; the first byte chooses the reader. Built with the preset fuzz, and
+ * for the tests with corpus_main.cc in place of libFuzzer. */
 
 #include <cstdint>
 #include <span>
@@ -20,17 +21,27 @@
 
 namespace {
 
-void ReadPeerDatagram(const std::string& bytes) {
+constexpr int kReaders = 8;
+
+/** Reads the datagram as each of the messages. */
+template <class... Messages>
+void ReadAs(const std::string& bytes) {
   const Result<Header> header = DecodeHeader(bytes);
-  if (!header)
-    return;
-  static_cast<void>(Decode<Ping>(bytes, header.value()));
-  static_cast<void>(Decode<Ack>(bytes, header.value()));
-  static_cast<void>(Decode<PingRequest>(bytes, header.value()));
-  static_cast<void>(Decode<DocumentDelta>(bytes, header.value()));
-  static_cast<void>(Decode<DocumentPull>(bytes, header.value()));
-  static_cast<void>(Decode<DocumentChunk>(bytes, header.value()));
-  static_cast<void>(Decode<ReachNews>(bytes, header.value()));
+  if (header)
+    (static_cast<void>(Decode<Messages>(bytes, header.value())), ...);
+}
+
+void ReadPeerDatagram(const std::string& bytes) {
+  ReadAs<Ping, Ack, PingRequest, DocumentDelta, DocumentPull, DocumentChunk,
+         ReachNews, Relay, Intent, IntentReply>(bytes);
+}
+
+void ReadTokenPlaneDatagram(const std::string& bytes) {
+  ReadAs<FabricPacket, Open, Request, NeedParts, Done, Cancel, Reopen, Follow,
+         Unfollow, Opened, Part, Verdict, Receipt, FeedEvent, Following>(bytes);
+  ReadAs<Run, CancelRun, NeedRunParts, RunDone, Subscribe, Unsubscribe,
+         Accepted, RunPart, Refused, CancelReply, RunLost, PublishedEvent,
+         Subscribed>(bytes);
 }
 
 }  // namespace
@@ -39,7 +50,7 @@
   if (size == 0)
     return 0;
   const std::string bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 7) {
+  switch (data[0] % kReaders) {
     case 0:
       static_cast<void>(platform::ReadPacket(std::as_bytes(std::span(bytes))));
       break;
@@ -63,6 +74,9 @@
     case 5:
       ReadPeerDatagram(bytes);
       break;
+    case 6:
+      ReadTokenPlaneDatagram(bytes);
+      break;
     default:
       CheckConfig("fuzz", bytes);
       CheckVmList("fuzz", bytes);
