--- a/src/emulate/caller_model.cc
+++ b/src/emulate/caller_model.cc
@@ -167,6 +167,7 @@
   const double factor =
       std::uniform_real_distribution<double>(0.5, 1.5)(random);
   request.work = std::chrono::duration_cast<Microseconds>(kind.work * factor);
+  record.work = request.work;
   request.answer_bytes = kind.answer_bytes;
   flow.asked = true;
   flow.out.Write(now, FormatRequest(request));
--- a/src/emulate/caller_model.h
+++ b/src/emulate/caller_model.h
@@ -45,6 +45,7 @@
   RequestEnd end = RequestEnd::kPending;
   bool mixed = false;  ///< An answer was not its own, or not whole.
   std::vector<uint64_t> attempts;
+  Microseconds work{0};  ///< Time the last attempt takes a slot; 0: not sent.
 
   bool operator==(const RequestRecord&) const = default;
 };
--- a/src/emulate/report_func.cc
+++ b/src/emulate/report_func.cc
@@ -9,6 +9,8 @@
 #include <iomanip>
 #include <sstream>
 
+#include "emulate/bound_func.h"
+
 namespace cuminvane::emulate {
 namespace {
 
@@ -95,6 +97,16 @@
         share.sum == 0 ? 1 : share.most * share.count / share.sum;
 }
 
+void SummarizeOneQueue(const Experiment& experiment,
+                       const WorldResult& result,
+                       RunReport& report) {
+  Tally tally;
+  for (const RequestRecord& record : PlayOneQueue(experiment, result))
+    Add(tally, record, experiment.work[record.kind].kind);
+  report.one_queue_worth = tally.Worth();
+  report.one_queue_p99_ms = tally.Quantile(kTail);
+}
+
 std::string Figure(const RunReport& run,
                    const std::string& name,
                    double value,
@@ -193,6 +205,7 @@
                          experiment.balancers;
   report.peer_bytes_per_s =
       static_cast<double>(result.peer_bytes) / seconds / balancers;
+  SummarizeOneQueue(experiment, result, report);
   return report;
 }
 
@@ -201,6 +214,8 @@
   for (const RunReport& run : reports) {
     text += Figure(run, "worth", run.worth, "share");
     text += Figure(run, "worst_window", run.worst_window, "share");
+    text += Figure(run, "one_queue.worth", run.one_queue_worth, "share");
+    text += Figure(run, "one_queue.p99", run.one_queue_p99_ms, "ms");
     for (const auto& [name, kind] : run.kinds) {
       text += Figure(run, name + ".worth", kind.worth, "share");
       text += Figure(run, name + ".asked", static_cast<double>(kind.asked),
@@ -234,6 +249,8 @@
     json["seed"] = static_cast<Json::UInt64>(run.seed);
     json["worth"] = run.worth;
     json["worst_window"] = run.worst_window;
+    json["one_queue"]["worth"] = run.one_queue_worth;
+    json["one_queue"]["p99_ms"] = run.one_queue_p99_ms;
     json["resets"] = static_cast<Json::UInt64>(run.resets);
     json["checks"] = static_cast<Json::UInt64>(run.checks);
     json["peer_bytes_per_s"] = run.peer_bytes_per_s;
@@ -264,14 +281,15 @@
     out << "<li>" << fault.at.count() << " ms: " << ToString(fault.kind) << " ("
         << fault.name << ") for " << fault.span.count() << " ms</li>";
   out << "</ul><h2>Runs</h2><table><tr><th>variant</th><th>seed</th><th>worth"
-         "</th><th>worst second</th><th>resets</th><th>checks</th><th>rules "
+         "</th><th>worst second</th><th>one queue, no "
+         "faults</th><th>resets</th><th>checks</th><th>rules "
          "broken</th></tr>"
       << std::setprecision(4);
   for (const RunReport& run : reports)
     out << "<tr><td>" << run.variant << "</td><td>" << run.seed << "</td><td>"
         << run.worth << "</td><td>" << run.worst_window << "</td><td>"
-        << run.resets << "</td><td>" << run.checks << "</td><td>"
-        << run.breaks.size() << "</td></tr>";
+        << run.one_queue_worth << "</td><td>" << run.resets << "</td><td>"
+        << run.checks << "</td><td>" << run.breaks.size() << "</td></tr>";
   out << "</table>";
   constexpr double kPlotMs = 1000;
   for (const RunReport& run : reports) {
--- a/src/emulate/report_func.h
+++ b/src/emulate/report_func.h
@@ -39,6 +39,8 @@
   uint64_t seed = 0;
   double worth = 0;
   double worst_window = 0;
+  double one_queue_worth = 0;   ///< With one queue before all slots, and no
+  double one_queue_p99_ms = 0;  ///< faults: no placement can do better.
   std::map<std::string, KindReport> kinds;
   std::vector<WindowReport> windows;
   std::map<std::string, double> imbalance;  ///< Busiest / mean, by service.
--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/ini_func.h"
+#include "emulate/bound_func.h"
 #include "emulate/experiment_func.h"
 #include "emulate/report_func.h"
 #include "shell/program_func.h"
@@ -96,6 +97,33 @@
   LONGS_EQUAL(0, result.resets);
 }
 
+/** Without faults, placement by what each balancer sees costs little against
+ * one queue before all slots. */
+TEST(Emulated, PlacementIsCloseToOneQueue) {
+  const Experiment experiment = Quiet();
+  const WorldResult result = World(experiment, {}).Run();
+  const emulate::RunReport report = emulate::Summarize(experiment, {}, result);
+  CHECK(report.one_queue_worth >= report.worth);
+  CHECK(report.worth > kAllButFew * report.one_queue_worth);
+}
+
+/** Two requests at once at one slot: the second waits for the first. */
+TEST(Emulated, OneQueueServesInTheOrderOfArrival) {
+  Experiment experiment = Quiet();
+  experiment.data_centres = {"a"};
+  experiment.services[0].backends = 1;
+  experiment.services[0].slots = 1;
+  WorldResult result;
+  result.begun_at = TimePoint(Seconds(10));
+  emulate::RequestRecord request;
+  request.asked_at = TimePoint(Seconds(11));
+  request.work = Milliseconds(30);
+  result.requests = {request, request};
+  const std::vector<emulate::RequestRecord> ended =
+      emulate::PlayOneQueue(experiment, result);
+  CHECK(ended[1].ended_at - ended[0].ended_at == Milliseconds(30));
+}
+
 TEST(Emulated, ARunIsTheSameEachTime) {
   const Experiment experiment = Quiet(Milliseconds(3000));
   CHECK(World(experiment, {}).Run().requests ==
