--- a/tests/soak/fleet_base.cc
+++ b/tests/soak/fleet_base.cc
@@ -202,7 +202,7 @@
   const std::string settings =
       this->directory + "/balancer-" + std::to_string(index) + ".ini";
   std::ofstream file(settings);
-  file << "[vm]\ndata_centre = a\nthreads = 1\n[listen]\npackets = "
+  file << "[vm]\ndata_centre = a\nthreads = 2\n[listen]\npackets = "
        << ToString(this->Balancer(index, kPacketsPort))
        << "\nready = " << ToString(this->Balancer(index, kReadyPort))
        << "\nmetrics = " << ToString(this->Balancer(index, kMetricsPort))
