--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -118,15 +118,20 @@
       this->plane.Sync(*view, now);
   }
 
-  /** @return Live balancers of this data centre, with this one. */
-  int NearBalancers(const BoardView& view) const {
+  /** @return Live balancers of this data centre, with this one; counted anew
+   * where the members have changed. */
+  int NearBalancers(const BoardView& view) {
+    if (this->counted_members == view.members.value)
+      return this->near_balancers;
+    this->counted_members = view.members.value;
     const uint64_t centre = DataCentreIdOf(this->settings.data_centre);
-    return 1 +
-           static_cast<int>(std::ranges::count_if(
-               view.members.value->members, [centre](const MemberInfo& member) {
-                 return member.data_centre == centre &&
-                        member.State() == MemberState::kAlive;
-               }));
+    const auto live = std::ranges::count_if(
+        view.members.value->members, [centre](const MemberInfo& member) {
+          return member.data_centre == centre &&
+                 member.State() == MemberState::kAlive;
+        });
+    this->near_balancers = 1 + static_cast<int>(live);
+    return this->near_balancers;
   }
 
   /** Documents that the packet plane has taken over. */
@@ -141,7 +146,10 @@
   Node<Mutex> node;
   PacketPlane<Mutex> plane;
   Guarded<Documents, Mutex> synced;
-  TimePoint next_sync;  ///< Only the thread that calls Tick touches it.
+  // Only the thread that calls Tick touches these.
+  TimePoint next_sync;
+  std::shared_ptr<const MemberView> counted_members;
+  int near_balancers = 1;
 };
 
 }  // namespace cuminvane
--- a/src/emulate/report_func.cc
+++ b/src/emulate/report_func.cc
@@ -205,6 +205,7 @@
                          experiment.balancers;
   report.peer_bytes_per_s =
       static_cast<double>(result.peer_bytes) / seconds / balancers;
+  report.start_bytes = static_cast<double>(result.start_bytes) / balancers;
   SummarizeOneQueue(experiment, result, report);
   return report;
 }
@@ -233,6 +234,7 @@
     text += Figure(run, "resets", static_cast<double>(run.resets), "resets");
     text += Figure(run, "checks", static_cast<double>(run.checks), "checks");
     text += Figure(run, "peer_bytes", run.peer_bytes_per_s, "B/s");
+    text += Figure(run, "start_bytes", run.start_bytes, "B");
     text += Figure(run, "rules_broken", static_cast<double>(run.breaks.size()),
                    "breaks");
     for (const RuleBreak& broken : run.breaks)
@@ -254,6 +256,7 @@
     json["resets"] = static_cast<Json::UInt64>(run.resets);
     json["checks"] = static_cast<Json::UInt64>(run.checks);
     json["peer_bytes_per_s"] = run.peer_bytes_per_s;
+    json["start_bytes"] = run.start_bytes;
     for (const auto& [name, kind] : run.kinds)
       json["kinds"][name] = KindToJson(kind);
     for (const auto& [service, ratio] : run.imbalance)
--- a/src/emulate/report_func.h
+++ b/src/emulate/report_func.h
@@ -47,7 +47,8 @@
   std::vector<RuleBreak> breaks;
   uint64_t resets = 0;
   uint64_t checks = 0;
-  double peer_bytes_per_s = 0;  ///< Of one balancer.
+  double peer_bytes_per_s = 0;  ///< Of one balancer, during the load.
+  double start_bytes = 0;       ///< Of one balancer, at the start of the fleet.
 };
 
 /** @return The figures of one run. */
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -84,11 +84,13 @@
   for (const FaultPlan& fault : this->experiment.faults)
     this->Schedule(fault);
   const TimePoint ends_at = this->begun_at + this->experiment.length;
-  while (this->now < ends_at + kTail) {
-    if (this->now == ends_at)
-      this->load = 0;
+  while (this->now < ends_at)
     this->Step();
-  }
+  const uint64_t peer_bytes = this->result.peer_bytes;
+  this->load = 0;
+  while (this->now < ends_at + kTail)
+    this->Step();
+  this->result.peer_bytes = peer_bytes;
   for (const CallerModel& caller : this->callers)
     this->result.requests.insert(this->result.requests.end(),
                                  caller.Records().begin(),
@@ -410,7 +412,9 @@
 
 void World::Carry(Node& node, PacketOutput& out) {
   for (Datagram& datagram : out.common.datagrams) {
-    this->result.peer_bytes += datagram.bytes.size();
+    (this->now < this->begun_at ? this->result.start_bytes
+                                : this->result.peer_bytes) +=
+        datagram.bytes.size();
     const auto target =
         std::ranges::find_if(this->nodes, [&](const Node& other) {
           return other.settings != nullptr &&
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -35,7 +35,8 @@
   std::map<VmId, std::string> services;
   uint64_t resets = 0;
   uint64_t checks = 0;
-  uint64_t peer_bytes = 0;
+  uint64_t start_bytes = 0;  ///< Between balancers, before the load.
+  uint64_t peer_bytes = 0;   ///< Between balancers, during the load.
 };
 
 /** Changes a packet at a balancer and what is decided about it, to show that a
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -25,7 +25,7 @@
            "", "Length of the load, in milliseconds."},
     KeyRow{"fleet", "data_centres", ValueKind::kWordList, "a,b,c", 0, 0, "",
            "Names of the data centres."},
-    KeyRow{"fleet", "balancers", ValueKind::kInteger, "1", 1, 100, "",
+    KeyRow{"fleet", "balancers", ValueKind::kInteger, "1", 1, 1000, "",
            "Balancers in each data centre."},
     KeyRow{"fleet", "near_us", ValueKind::kInteger, "100", 0, 1000000, "",
            "Delay one way in a data centre, in microseconds."},
