--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -39,6 +39,7 @@
     entry["draining"] = state.draining_until > now;
     entry["avoided"] = state.avoid_until > now;
     entry["cold"] = state.warm_at > now;
+    entry["service"] = Number(state.service.value);
     entry["outstanding"] = state.outstanding;
     entry["flows_placed"] = state.placed;
     list.append(entry);
@@ -55,6 +56,8 @@
     entry["leaving"] = member.leaving;
     entry["listed"] = member.gone_at == kNever;
     entry["cold"] = member.warm_at > now;
+    entry["service"] = Number(member.service.value);
+    entry["slots"] = static_cast<Json::Int64>(member.slots);
     entry["flows"] = member.flows;
     entry["waiting"] = member.waiting;
     entry["answer_ms"] = member.answer_ms;
@@ -71,6 +74,8 @@
     entry["answered_within_ms"] =
         static_cast<Json::Int64>(work.target.answered_within_ms);
     entry["answered_percent"] = work.target.answered_percent;
+    entry["service"] = Number(work.service.value);
+    entry["imbalance_percent"] = work.target.imbalance_percent;
     list.append(entry);
   }
   return list;
--- a/src/shell/target_func.cc
+++ b/src/shell/target_func.cc
@@ -2,7 +2,9 @@
 
 #include "shell/target_func.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <sstream>
 
 #include "base/result_type.h"
@@ -27,6 +29,58 @@
   std::map<std::string, uint64_t> failures;  ///< By code.
 };
 
+/** Flows at one backend server, over all balancers. */
+struct Spread {
+  uint64_t service = 0;
+  double flows = 0;
+  int64_t slots = 1;
+};
+
+/** Below this mean of flows for each backend server chance decides. */
+constexpr double kFewFlows = 20;
+constexpr double kPercent = 100;
+
+/** @return The backend servers that take flows, by VM. */
+std::map<uint64_t, Spread> SpreadOf(const std::vector<Json::Value>& statuses) {
+  std::map<uint64_t, Spread> spread;
+  for (const Json::Value& status : statuses) {
+    for (const char* const plane : {"backends", "opaque_backends"}) {
+      for (const Json::Value& backend : status[plane]) {
+        if (backend["leaving"].asBool() || backend["cold"].asBool())
+          continue;
+        Spread& one = spread[backend["vm"].asUInt64()];
+        one.service = backend["service"].asUInt64();
+        one.flows +=
+            backend["flows_placed"].asDouble() + backend["flows"].asDouble();
+        one.slots = std::max<int64_t>(one.slots, backend["slots"].asInt64());
+      }
+    }
+  }
+  return spread;
+}
+
+/** @return How far the service's busiest backend server is above the mean, in
+ * percent; none where too few flows are open. */
+std::optional<double> ImbalanceOf(const std::map<uint64_t, Spread>& spread,
+                                  uint64_t service) {
+  double flows = 0;
+  double slots = 0;
+  double most = 0;
+  size_t count = 0;
+  for (const auto& [vm, one] : spread) {
+    if (one.service != service)
+      continue;
+    const auto own_slots = static_cast<double>(one.slots);
+    flows += one.flows;
+    slots += own_slots;
+    most = std::max(most, one.flows / own_slots);
+    ++count;
+  }
+  if (count == 0 || flows < kFewFlows * static_cast<double>(count))
+    return std::nullopt;
+  return kPercent * (most * slots / flows - 1);
+}
+
 void AddClass(const Json::Value& target,
               const Json::Value& measured,
               Tally& tally) {
@@ -67,6 +121,7 @@
 std::vector<TargetLine> CompareTargets(
     const std::vector<Json::Value>& statuses) {
   std::map<LineKey, Tally> tallies;
+  const std::map<uint64_t, Spread> spread = SpreadOf(statuses);
   for (const Json::Value& status : statuses) {
     const std::string data_centre = status["data_centre"].asString();
     for (const Json::Value& target : status["targets"]) {
@@ -78,6 +133,10 @@
         tally.line.work_class = name;
         tally.line.data_centre = key.data_centre;
         AddClass(target, measured, tally);
+        tally.line.imbalance_limit = target["imbalance_percent"].asDouble();
+        if (!key.is_data_centre)
+          tally.line.imbalance =
+              ImbalanceOf(spread, target["service"].asUInt64());
       }
     }
   }
@@ -94,8 +153,11 @@
       << " answered_within_ms=" << line.within_ms
       << " target_percent=" << line.target_percent
       << " measured_percent=" << line.MeasuredPercent()
-      << " requests=" << line.requests
-      << " met=" << (line.IsMet() ? "yes" : "no") << " cause=" << line.Cause();
+      << " requests=" << line.requests;
+  if (line.imbalance)
+    out << " imbalance_percent=" << *line.imbalance
+        << " imbalance_limit=" << line.imbalance_limit;
+  out << " met=" << (line.IsMet() ? "yes" : "no") << " cause=" << line.Cause();
   return out.str();
 }
 
--- a/src/shell/target_type.h
+++ b/src/shell/target_type.h
@@ -4,6 +4,7 @@
 #define CUMINVANE_SHELL_TARGET_TYPE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cuminvane {
@@ -17,8 +18,12 @@
   uint64_t requests = 0;  ///< Ended, however.
   uint64_t answered_in_time = 0;
   std::string
-      most_common_failure;  ///< Name of the code, empty where none failed.
-  uint64_t failures = 0;    ///< Ended otherwise than answered.
+      most_common_failure;     ///< Name of the code, empty where none failed.
+  uint64_t failures = 0;       ///< Ended otherwise than answered.
+  double imbalance_limit = 0;  ///< Target, in percent.
+  std::optional<double> imbalance;  ///< Flows of the service's busiest backend
+                                    ///< server for each slot, above the mean,
+                                    ///< in percent; none where few are open.
 
   bool operator==(const TargetLine&) const = default;
 
@@ -32,13 +37,21 @@
                      static_cast<double>(this->requests);
   }
 
+  /** @return Whether enough is answered in time. */
+  bool IsInTime() const {
+    return this->MeasuredPercent() >= this->target_percent;
+  }
+  /** @return Whether the flows are spread evenly enough, as far as known. */
+  bool IsEven() const {
+    return this->imbalance.value_or(0) <= this->imbalance_limit;
+  }
   /** @return Whether the target is met. */
-  bool IsMet() const { return this->MeasuredPercent() >= this->target_percent; }
+  bool IsMet() const { return this->IsInTime() && this->IsEven(); }
 
   /** @return What stands in the way, in one word. */
   std::string Cause() const {
-    if (this->IsMet())
-      return "none";
+    if (this->IsInTime())
+      return this->IsEven() ? "none" : "imbalance";
     const uint64_t late =
         this->requests - this->answered_in_time - this->failures;
     return late > this->failures ? "late_answers" : this->most_common_failure;
--- a/tests/target_test.cc
+++ b/tests/target_test.cc
@@ -58,6 +58,39 @@
       FormatTarget(lines[0]).c_str());
 }
 
+TEST(Targets, ShowHowUnevenlyFlowsAreSpread) {
+  Json::Value status = Status("a", 100, 0, 0);
+  status["targets"][0]["service"] = 7;
+  status["targets"][0]["imbalance_percent"] = 25;
+  for (int vm = 1; vm <= 3; ++vm) {
+    Json::Value backend;
+    backend["vm"] = vm;
+    backend["service"] = vm == 3 ? 8 : 7;
+    backend["slots"] = vm == 1 ? 2 : 1;
+    backend["flows"] = vm == 3 ? 500 : 30;
+    status["opaque_backends"].append(backend);
+  }
+  const TargetLine line = CompareTargets({status, status})[0];
+  // 30 flows a slot beside a mean of 20, at each of two balancers.
+  DOUBLES_EQUAL(50, *line.imbalance, 1e-9);
+  STRCMP_EQUAL("imbalance", line.Cause().c_str());
+  CHECK_CONTAINS("imbalance_percent=50 imbalance_limit=25 met=no",
+                 FormatTarget(line));
+  status["opaque_backends"][1]["flows"] = 15;
+  CHECK(CompareTargets({status, status})[0].IsMet());
+}
+
+TEST(Targets, OfFewFlowsSayNothingOfTheirSpread) {
+  Json::Value status = Status("a", 100, 0, 0);
+  status["targets"][0]["service"] = 7;
+  Json::Value backend;
+  backend["vm"] = 1;
+  backend["service"] = 7;
+  backend["flows"] = 3;
+  status["opaque_backends"].append(backend);
+  CHECK(!CompareTargets({status})[0].imbalance.has_value());
+}
+
 TEST(Targets, WithoutRequestsAreMet) {
   CHECK(CompareTargets({Status("a", 0, 0, 0)})[0].IsMet());
 }
