The emulator gives each balancer its own id in fleets of 256 and more a data centre

Seen: 12.7 KB/s and balancer at 876 balancers, 608 B/s at 324. Cause: ids of VMs left eight bits for the number in a data centre, so balancers of two data centres shared an id, never saw each other as alive, and asked their first peers again and again. Ruled out: suspicions, pulls of documents (all bytes were pings and acks; some balancers knew no live peer).

--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -21,7 +21,7 @@
 constexpr uint32_t kNodeNet = 0x0a000000;
 constexpr uint32_t kServerNet = 0x0a800000;
 constexpr uint32_t kCallerNet = 0x64400000;
-constexpr int kCentreShift = 8;
+constexpr int kCentreShift = 16;
 constexpr uint16_t kPeerPort = 1;
 constexpr uint16_t kPacketPort = 2;
 constexpr uint16_t kServerPort = 80;
