--- a/tools/test.sh
+++ b/tools/test.sh
@@ -14,6 +14,8 @@
 step build
 cmake --preset release >/dev/null
 cmake --build --preset release
+step commands
+tools/commands.sh | diff - docs/COMMANDS.md || { echo "test: run tools/commands.sh > docs/COMMANDS.md" >&2; exit 1; }
 step lint
 git ls-files 'src/*.cc' 'platform/*.cc' | grep -v '^src/control/' | xargs -P "$(nproc)" -n 2 clang-tidy -p build/release --quiet 2>build/lint.log ||
   { echo "test: clang-tidy found something" >&2; exit 1; }
