A handshake after a loss clears the server; one out of reach is not full

Cause: what waits at a lost server stays counted, and only a check cleared a loss. Ruled out: loss of the opening packet (the caller's second packet came 4 ms after the placement). Now a first packet on a flow that was placed after the loss proves the server alive, and a server out of reach is never full. Two tests fail without it; a third holds that a handshake from before the loss proves nothing.

--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -115,12 +115,15 @@
   }
   if (record.backend != member->vm)
     Uncount(record, call.backends);
+  // Another server's wait has ended with its count.
+  const TimePoint placed_at =
+      record.IsWaiting() ? record.waiting_since : TimePoint{};
   record.established = true;
   record.acknowledged = packet.acknowledged;
   EndWait(record, *member);
   Count(record, *member);
   if (!learned)
-    call.backends.OnAlive(*member, call.now, call.out);
+    call.backends.OnHandshake(*member, placed_at, call.now, call.out);
 }
 
 PacketAction ResetLost(const PacketCall& call,
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -239,6 +239,32 @@
     this->SetReach(member, Reach::kReachable, "flow_answered", out);
 }
 
+void BackendPool::OnHandshake(PoolMember& member,
+                              TimePoint placed_at,
+                              TimePoint now,
+                              PacketOutput& out) {
+  this->OnAlive(member, now, out);
+  if (IsOut(member) && placed_at > member.liveness.lost_at)
+    this->ComeBack(member, "flow_opened", now, out);
+}
+
+void BackendPool::ComeBack(PoolMember& member,
+                           const char* reason,
+                           TimePoint now,
+                           PacketOutput& out) {
+  Liveness& liveness = member.liveness;
+  if (IsOut(member)) {
+    const int doublings = std::min(liveness.losses - 1, kMostDoublings);
+    liveness.trusted_at =
+        now + this->limits.distrust * (1 << std::max(0, doublings));
+  }
+  this->SetReach(member, Reach::kReachable, reason, out);
+}
+
+bool BackendPool::IsFull(const PoolMember& member, int64_t depth) {
+  return depth > 0 && !IsOut(member) && member.waiting >= depth * member.slots;
+}
+
 void BackendPool::OnAnswer(PoolMember& member, Microseconds time) {
   const double ms = std::chrono::duration<double, std::milli>(time).count();
   member.answer_ms =
@@ -286,12 +312,7 @@
     liveness.alive_at = now;
     if (liveness.reach == Reach::kReachable)
       return false;
-    if (IsOut(*member)) {
-      const int doublings = std::min(liveness.losses - 1, kMostDoublings);
-      liveness.trusted_at =
-          now + this->limits.distrust * (1 << std::max(0, doublings));
-    }
-    this->SetReach(*member, Reach::kReachable, "check_answered", out);
+    this->ComeBack(*member, "check_answered", now, out);
     return false;
   }
   if (IsOut(*member)) {
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -73,11 +73,10 @@
    * @param depth Unanswered requests for each slot; 0: no limit.
    * @return Whether so much is unanswered at the backend server that a flow
    * opened now would only lengthen its queue. The caller's copy of the opening
-   * packet comes soon, when the queue is shorter.
+   * packet comes soon, when the queue is shorter. What waits at one out of
+   * reach says nothing of its queue.
    */
-  static bool IsFull(const PoolMember& member, int64_t depth) {
-    return depth > 0 && member.waiting >= depth * member.slots;
-  }
+  static bool IsFull(const PoolMember& member, int64_t depth);
 
   /** @return The depth up to which an opening packet is placed.
    * @param copy 0 for the first, 1 for the first copy of it, and so on. */
@@ -87,6 +86,15 @@
 
   /** Takes note that a backend server has answered something. */
   void OnAlive(PoolMember& member, TimePoint now, PacketOutput& out);
+  /**
+   * Takes note that a caller has had an answer to its opening packet.
+   * @param placed_at When the opening packet was first sent there; after a loss
+   * it proves that the backend server is back.
+   */
+  void OnHandshake(PoolMember& member,
+                   TimePoint placed_at,
+                   TimePoint now,
+                   PacketOutput& out);
   /** Takes note of how long an answer took. */
   static void OnAnswer(PoolMember& member, Microseconds time);
   /**
@@ -118,6 +126,12 @@
   const std::map<VmId, PoolMember>& Members() const { return this->members; }
 
  private:
+  /** It is within reach again, and trusted the later the more often it was
+   * lost. */
+  void ComeBack(PoolMember& member,
+                const char* reason,
+                TimePoint now,
+                PacketOutput& out);
   bool TakesFlows(const PoolMember& member, TimePoint now) const;
   bool IsTrusted(const PoolMember& member, TimePoint now) const;
   std::vector<PoolMember*> Candidates(ServiceId service,
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -201,6 +201,46 @@
   CHECK(world.Open(World::Key(8), 2).verdict == PacketVerdict::kForward);
 }
 
+/** Nothing else is left, so the flow is placed there; its caller's next packet
+ * shows that the backend server has answered since. */
+TEST(Pool, AHandshakeAfterTheLossClearsTheServer) {
+  World world;
+  world.List({{1}});
+  const PacketAction first = world.Establish(World::Key(1));
+  Lose(world, World::Key(1), first);
+  CHECK(world.Member(VmId{1}).liveness.reach == Reach::kUnreachable);
+  world.Wait(Milliseconds(20));
+  CHECK(world.Establish(World::Key(2)).verdict == PacketVerdict::kForward);
+  CHECK(world.Member(VmId{1}).liveness.reach == Reach::kReachable);
+}
+
+/** The opening packet went out before the loss: its handshake proves nothing.
+ */
+TEST(Pool, AHandshakeFromBeforeTheLossClearsNothing) {
+  World world;
+  world.List({{1}});
+  const PacketAction first = world.Establish(World::Key(1));
+  const PacketAction opened = world.Open(World::Key(2));
+  Lose(world, World::Key(1), first);
+  CHECK(world.Data(World::Key(2), opened.tag, 101, 1000, 0).verdict ==
+        PacketVerdict::kReset);
+  CHECK(world.Member(VmId{1}).liveness.reach == Reach::kUnreachable);
+}
+
+/** What is unanswered at a lost server says nothing of its queue. */
+TEST(Pool, AServerOutOfReachIsNotFull) {
+  World world;
+  world.settings.flows.open_depth = 1;
+  world.settings.flows.copy_depth = 1;
+  world.Restart();
+  world.Configure(1);
+  world.List({{1}});
+  const PacketAction first = world.Establish(World::Key(1));
+  world.Data(World::Key(2), first.tag, 101, 1000, 50);
+  Lose(world, World::Key(1), first);
+  CHECK(world.Open(World::Key(3)).verdict == PacketVerdict::kForward);
+}
+
 TEST(Pool, AFullNearServerLeavesFlowsToTheOthers) {
   World world;
   world.settings.flows.open_depth = 1;
