The soak's files are in memory; a stand-in backend server does not wait for the disk

Cause: stand-in servers replaced their entries on a disk within the packet loop; their entries were up to 1.5 s old with a beat of 0.4 s, and up to 8 of 16 server processes were seen in uninterruptible sleep. Ruled out: placement and checks (no reset, every check answered).

--- a/src/standin/flow_backend_role.cc
+++ b/src/standin/flow_backend_role.cc
@@ -3,11 +3,13 @@
  */
 
 #include <asio.hpp>
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <random>
+#include <sstream>
 
 #include "emulate/backend_model.h"
 #include "shell/clock_func.h"
@@ -77,21 +79,32 @@
     return out.str();
   }
 
-  /** Replaces the entry in one step, so that no half of it is read. */
+  /** Has the entry written beside the packets, which must not wait for the
+   * disk. Where it is behind, the next beat tells. */
   void Report() {
+    this->next_beat = ReadClock() + kBeat;
+    if (this->writing.exchange(true))
+      return;
+    std::ostringstream text;
+    text << "{\"service\":\"" << this->options.service << "\",\"address\":\""
+         << ToString(this->listen) << "\",\"zone\":\""
+         << this->options.data_centre
+         << "\",\"version\":\"v1\",\"slots\":" << this->options.slots
+         << ",\"state\":\"" << (this->ends_at == kNever ? "ready" : "draining")
+         << "\",\"cold_remaining_ms\":0,\"seq\":" << ++this->beats
+         << ",\"born\":" << ToWire(this->born) / 1000 << "}";
+    asio::post(this->writer, [this, text = text.str()] {
+      this->WriteEntry(text);
+      this->writing = false;
+    });
+  }
+
+  /** Replaces the entry in one step, so that no half of it is read. */
+  void WriteEntry(const std::string& text) const {
     const std::string draft = this->entry + ".new";
-    std::ofstream(draft) << "{\"service\":\"" << this->options.service
-                         << "\",\"address\":\"" << ToString(this->listen)
-                         << "\",\"zone\":\"" << this->options.data_centre
-                         << "\",\"version\":\"v1\",\"slots\":"
-                         << this->options.slots << ",\"state\":\""
-                         << (this->ends_at == kNever ? "ready" : "draining")
-                         << "\",\"cold_remaining_ms\":0,\"seq\":"
-                         << ++this->beats
-                         << ",\"born\":" << ToWire(this->born) / 1000 << "}";
+    std::ofstream(draft) << text;
     std::error_code ignored;
     std::filesystem::rename(draft, this->entry, ignored);
-    this->next_beat = ReadClock() + kBeat;
   }
 
   void WaitForPackets() {
@@ -154,6 +167,7 @@
     if (now >= this->next_beat)
       this->Report();
     if (now >= this->ends_at) {
+      this->writer.join();
       std::error_code ignored;
       std::filesystem::remove(this->entry, ignored);
       this->context.stop();
@@ -197,6 +211,8 @@
   uint64_t beats = 0;
   size_t runs = 0;
   size_t opens = 0;
+  std::atomic<bool> writing = false;
+  asio::thread_pool writer{1};  ///< Ends before what its work refers to.
 };
 
 }  // namespace
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -479,8 +479,10 @@
       "demo", "A fixed series of faults, and figures at the end")(
       "runs", "Seeds in a row", value<int>()->default_value("1"))(
       "seconds", "Length of the faults", value<int>()->default_value("10"))(
-      "dir", "Directory for logs; those of a failed seed are kept",
-      value<std::string>()->default_value("/tmp/cuminvane-soak"))(
+      "dir",
+      "Directory for logs, in memory since the VMs have no disk; those of a "
+      "failed seed are kept",
+      value<std::string>()->default_value("/dev/shm/cuminvane-soak"))(
       "bin", "Directory of the programs",
       value<std::string>()->default_value("build/release"));
   return cuminvane::RunProgram(argc, argv, options, cuminvane::soak::RunSoak);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -142,4 +142,4 @@
 "$bin/cuminvanectl" targets --balancers "$control" | grep data_centre=all || true
 "$bin/cuminvane-standin" --role figures --dir "$run" --config "$run/config.ini" || { keep=yes; exit 1; }
 echo "opaque flows: a balancer killed, two stopped, two backend servers drained, a new configuration"
-build/release/cuminvane_soak --demo --seed "$seed" --dir "$run/soak" || { keep=yes; exit 1; }
+build/release/cuminvane_soak --demo --seed "$seed" --dir "/dev/shm/cuminvane-demo-$$" || { keep=yes; exit 1; }
