One HTTP answer and one address conversion for balancer and stand-in; unused members removed

page_base.cc and platform_role.cc built the same answer and the same address, which packet_lane_base.cc had as well; the stand-in store wrote JSON beside WriteJson. ReplyText, ToSockaddr and WriteJson serve all of them. Nothing used World::Node::seen_list, MemberTable::HasHeard, BackendModel::IsDraining, Options and Flows.

--- a/src/emulate/backend_model.h
+++ b/src/emulate/backend_model.h
@@ -63,12 +63,8 @@
   /** Flows are closed with their next answer from now on. */
   void BeginDrain() { this->draining = true; }
 
-  const BackendOptions& Options() const { return this->options; }
-  bool IsDraining() const { return this->draining; }
   /** @return Whether the flow is open here. */
   bool Holds(const FlowKey& key) const;
-  /** @return Flows that are open here. */
-  size_t Flows() const { return this->flows.size(); }
   /** @return Time in which slots were busy. */
   Microseconds Busy() const { return this->busy; }
   const std::vector<RunRecord>& Runs() const { return this->runs; }
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -79,7 +79,6 @@
     bool in_rotation = false;
     TimePoint disturbed_at;
     uint64_t starts = 0;
-    uint64_t seen_list = 0;
     uint64_t shown_version = 0;  ///< Newest that its opened flows show.
     TimePoint shown_at;
   };
--- a/src/member/member_base.h
+++ b/src/member/member_base.h
@@ -54,8 +54,6 @@
   /** Pings the first peers, and members that have not been heard yet. */
   void PingFirst(const std::vector<Endpoint>& peers, Output& out);
 
-  /** @return Whether another member has ever been heard. */
-  bool HasHeard() const { return this->heard; }
   /** @return Whether every member that is not known to be gone has been heard
    * since this start. */
   bool HasHeardAll() const;
--- a/src/shell/packet_lane_base.cc
+++ b/src/shell/packet_lane_base.cc
@@ -4,18 +4,9 @@
 
 #include <algorithm>
 
-namespace cuminvane {
-namespace {
-
-sockaddr_in ToSockaddr(const Endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.port);
-  address.sin_addr.s_addr = htonl(endpoint.ip);
-  return address;
-}
+#include "shell/socket_base.h"
 
-}  // namespace
+namespace cuminvane {
 
 PacketLane::PacketLane(size_t room, size_t most)
     : room(room), slot(room + most + 1), buffers(kBatch * this->slot) {
--- a/src/shell/page_base.cc
+++ b/src/shell/page_base.cc
@@ -3,10 +3,12 @@
 #include "shell/page_base.h"
 
 #include <microhttpd.h>
-#include <netinet/in.h>
 
 #include <utility>
 
+#include "shell/http_func.h"
+#include "shell/socket_base.h"
+
 namespace cuminvane {
 namespace {
 
@@ -26,10 +28,7 @@
   HttpPages& operator=(const HttpPages&) = delete;
 
   bool Start(const Endpoint& address) {
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_port = htons(address.port);
-    bound.sin_addr.s_addr = htonl(address.ip);
+    const sockaddr_in bound = ToSockaddr(address);
     this->server = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL, address.port, nullptr,
         nullptr, &HttpPages::Answer, this, MHD_OPTION_SOCK_ADDR, &bound,
@@ -48,15 +47,10 @@
                            size_t* /*upload_size*/,
                            void** /*connection_state*/) {
     const Page page = static_cast<HttpPages*>(user)->maker(url);
-    MHD_Response* const response = MHD_create_response_from_buffer(
-        page.text.size(), const_cast<char*>(page.text.data()),
-        MHD_RESPMEM_MUST_COPY);
     const unsigned status = !page.found ? MHD_HTTP_NOT_FOUND
                             : page.good ? MHD_HTTP_OK
                                         : MHD_HTTP_SERVICE_UNAVAILABLE;
-    const MHD_Result queued = MHD_queue_response(connection, status, response);
-    MHD_destroy_response(response);
-    return queued;
+    return ReplyText(connection, status, page.text);
   }
 
   PageMaker maker;
--- a/src/shell/socket_base.h
+++ b/src/shell/socket_base.h
@@ -4,6 +4,8 @@
 #ifndef CUMINVANE_SHELL_SOCKET_BASE_H_
 #define CUMINVANE_SHELL_SOCKET_BASE_H_
 
+#include <netinet/in.h>
+
 #include <array>
 #include <asio.hpp>
 #include <optional>
@@ -21,6 +23,15 @@
  * noticed. */
 using ReceiveBuffer = std::array<char, kDatagramLimit + 1>;
 
+/** @return The endpoint as the system's calls take it. */
+inline sockaddr_in ToSockaddr(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  address.sin_addr.s_addr = htonl(endpoint.ip);
+  return address;
+}
+
 /** @return The endpoint in the library's form. */
 asio::ip::udp::endpoint ToAsio(const Endpoint& endpoint);
 /** @return The endpoint in the core's form. */
--- a/src/standin/platform_role.cc
+++ b/src/standin/platform_role.cc
@@ -20,8 +20,10 @@
 #include "base/schema_func.h"
 #include "base/time_type.h"
 #include "shell/clock_func.h"
+#include "shell/http_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
+#include "shell/status_func.h"
 #include "standin/role_func.h"
 
 namespace cuminvane {
@@ -184,15 +186,7 @@
 MHD_Result Reply(MHD_Connection* connection,
                  unsigned status,
                  const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  const std::string text = Json::writeString(builder, json);
-  MHD_Response* const response = MHD_create_response_from_buffer(
-      text.size(), const_cast<char*>(text.data()), MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(response, "Content-Type", "application/json");
-  const MHD_Result queued = MHD_queue_response(connection, status, response);
-  MHD_destroy_response(response);
-  return queued;
+  return ReplyText(connection, status, WriteJson(json), "application/json");
 }
 
 /** Waits in the connection's own thread until something has changed. */
@@ -243,10 +237,7 @@
     return Complain({ResultCode::kUsage, "--listen is no A.B.C.D:PORT"});
   PlatformState state(options["dir"].as<std::string>());
   state.store.Refresh();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(listen->port);
-  address.sin_addr.s_addr = htonl(listen->ip);
+  const sockaddr_in address = ToSockaddr(*listen);
   MHD_Daemon* const server = MHD_start_daemon(
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
       listen->port, nullptr, nullptr, OnHttpRequest, &state,
