The limits of opaque flows stand in one table and are read by one function

A variant of an experiment held a copy of the settings' rows and defaults, which had to be changed twice with each change, and its own reading of them. FlowLimitKeys and ReadFlowLimits serve both; SectionReader::Millis replaces two copies of ReadMs.

--- a/src/base/schema_func.h
+++ b/src/base/schema_func.h
@@ -49,6 +49,10 @@
   std::string Text(std::string_view key) const;
   /** @return The value of a kInteger key. */
   int64_t Integer(std::string_view key) const;
+  /** @return The value of a kInteger key that counts milliseconds. */
+  Milliseconds Millis(std::string_view key) const {
+    return Milliseconds(this->Integer(key));
+  }
   /** @return The value of a kDecimal key. */
   double Decimal(std::string_view key) const;
   /** @return The value of a kBoolean key. */
--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -13,10 +13,6 @@
 namespace cuminvane {
 namespace {
 
-Milliseconds ReadMs(const SectionReader& section, std::string_view key) {
-  return Milliseconds(section.Integer(key));
-}
-
 void ReadVmSection(const SectionReader& section, Settings& settings) {
   settings.id = VmId{static_cast<uint64_t>(section.Integer("id"))};
   settings.incarnation =
@@ -48,7 +44,7 @@
   settings.platform_timing = {
       Milliseconds(std::llround(section.Decimal("in_force_ms"))),
       static_cast<size_t>(section.Integer("watchers")),
-      ReadMs(section, "pause_ms"), ReadMs(section, "retry_ms")};
+      section.Millis("pause_ms"), section.Millis("retry_ms")};
 }
 
 void ReadLogSection(const SectionReader& section, Settings& settings) {
@@ -63,19 +59,19 @@
 
 void ReadRequestsSection(const SectionReader& section, Settings& settings) {
   settings.requests = {
-      ReadMs(section, "deadline_limit_ms"),
+      section.Millis("deadline_limit_ms"),
       static_cast<size_t>(section.Integer("records_per_flow")),
       static_cast<size_t>(section.Integer("records_per_shard")),
       static_cast<size_t>(section.Integer("answer_limit_bytes")),
-      ReadMs(section, "accept_timeout_ms"),
+      section.Millis("accept_timeout_ms"),
       section.Boolean("witnessed"),
       static_cast<int>(section.Integer("retry_percent"))};
 }
 
 void ReadMembershipSection(const SectionReader& section, Settings& settings) {
-  settings.membership = {ReadMs(section, "probe_ms"),
-                         ReadMs(section, "probe_timeout_ms"),
-                         ReadMs(section, "suspicion_ms")};
+  settings.membership = {section.Millis("probe_ms"),
+                         section.Millis("probe_timeout_ms"),
+                         section.Millis("suspicion_ms")};
   const auto port = static_cast<uint16_t>(section.Integer("peers_port"));
   for (const std::string& text : section.List("peers")) {
     const std::optional<Endpoint> peer = ParseEndpoint(text);
@@ -88,15 +84,10 @@
 }
 
 void ReadFlowsSection(const SectionReader& section, Settings& settings) {
-  settings.flows = {static_cast<size_t>(section.Integer("shards")),
-                    static_cast<size_t>(section.Integer("remembered")),
-                    ReadMs(section, "check_wait_ms"),
-                    ReadMs(section, "check_pause_ms"),
-                    ReadMs(section, "recheck_ms"),
-                    ReadMs(section, "distrust_ms"),
-                    ReadMs(section, "vanish_grace_ms"),
-                    section.Integer("open_depth"),
-                    section.Integer("copy_depth")};
+  settings.flows = ReadFlowLimits(section);
+  settings.flows.shards = static_cast<size_t>(section.Integer("shards"));
+  settings.flows.remembered =
+      static_cast<size_t>(section.Integer("remembered"));
 }
 
 /** A balancer serves callers with tokens, opaque flows, or both. */
@@ -114,12 +105,24 @@
 }
 
 void ReadStopSection(const SectionReader& section, Settings& settings) {
-  settings.stop_grace = ReadMs(section, "grace_ms");
-  settings.stop_linger = ReadMs(section, "linger_ms");
+  settings.stop_grace = section.Millis("grace_ms");
+  settings.stop_linger = section.Millis("linger_ms");
 }
 
 }  // namespace
 
+FlowLimits ReadFlowLimits(const SectionReader& section) {
+  FlowLimits limits;
+  limits.check_wait = section.Millis("check_wait_ms");
+  limits.check_pause = section.Millis("check_pause_ms");
+  limits.recheck = section.Millis("recheck_ms");
+  limits.distrust = section.Millis("distrust_ms");
+  limits.vanish_grace = section.Millis("vanish_grace_ms");
+  limits.open_depth = section.Integer("open_depth");
+  limits.copy_depth = section.Integer("copy_depth");
+  return limits;
+}
+
 SettingsCheck CheckSettings(const std::string& file, std::string_view text) {
   SettingsCheck check;
   const IniDocument document = ReadIni(file, text, check.problems);
--- a/src/document/settings_func.h
+++ b/src/document/settings_func.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/ini_type.h"
+#include "base/schema_func.h"
 #include "document/settings_type.h"
 
 namespace cuminvane {
@@ -17,6 +18,10 @@
   IniProblems problems;  ///< Empty means that settings holds the file.
 };
 
+/** @return What the keys of FlowLimitKeys say in a checked section; everything
+ * else is at its default. */
+FlowLimits ReadFlowLimits(const SectionReader& section);
+
 /**
  * @param file Name used in messages.
  * @param text The whole file.
--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -7,6 +7,7 @@
 
 #include "base/ini_func.h"
 #include "base/schema_func.h"
+#include "document/settings_func.h"
 #include "table/experiment_table.h"
 
 namespace cuminvane::emulate {
@@ -22,19 +23,15 @@
 constexpr uint16_t kServicePort = 443;
 constexpr double kPercent = 100;
 
-Milliseconds ReadMs(const SectionReader& section, std::string_view key) {
-  return Milliseconds(section.Integer(key));
-}
-
 void ReadFleet(const SectionReader& section, Experiment& experiment) {
   experiment.seed = static_cast<uint64_t>(section.Integer("seed"));
-  experiment.length = ReadMs(section, "length_ms");
+  experiment.length = section.Millis("length_ms");
   experiment.data_centres = section.List("data_centres");
   experiment.balancers = static_cast<int>(section.Integer("balancers"));
   experiment.near_delay = Microseconds(section.Integer("near_us"));
   experiment.far_delay = Microseconds(section.Integer("far_us"));
   experiment.caller_delay = Microseconds(section.Integer("caller_us"));
-  experiment.news = ReadMs(section, "news_ms");
+  experiment.news = section.Millis("news_ms");
   experiment.loss = section.Decimal("loss_percent") / kPercent;
 }
 
@@ -42,7 +39,7 @@
   return {section.Name(), static_cast<int>(section.Integer("backends")),
           static_cast<int>(section.Integer("slots")),
           static_cast<int>(section.Integer("queue")),
-          ReadMs(section, "cold_ms")};
+          section.Millis("cold_ms")};
 }
 
 WorkPlan ReadWork(const SectionReader& section, size_t index) {
@@ -59,8 +56,8 @@
       std::chrono::duration<double, std::milli>(section.Decimal("work_ms")));
   work.kind.answer_bytes =
       static_cast<uint32_t>(section.Integer("answer_bytes"));
-  work.kind.target = ReadMs(section, "target_ms");
-  work.kind.deadline = ReadMs(section, "deadline_ms");
+  work.kind.target = section.Millis("target_ms");
+  work.kind.deadline = section.Millis("deadline_ms");
   work.kind.worth = section.Decimal("worth");
   work.kind.late_worth = section.Decimal("late_worth");
   work.kind.retries = static_cast<int>(section.Integer("retries"));
@@ -73,8 +70,8 @@
   fault.name = section.Name();
   if (word != kFaultWords.end())
     fault.kind = static_cast<FaultKind>(word - kFaultWords.begin());
-  fault.at = ReadMs(section, "at_ms");
-  fault.span = ReadMs(section, "for_ms");
+  fault.at = section.Millis("at_ms");
+  fault.span = section.Millis("for_ms");
   fault.count = static_cast<int>(section.Integer("count"));
   fault.factor = section.Decimal("factor");
   fault.service = section.Text("service");
@@ -86,13 +83,7 @@
 Variant ReadVariant(const SectionReader& section) {
   Variant variant;
   variant.name = section.Name();
-  variant.flows.check_wait = ReadMs(section, "check_wait_ms");
-  variant.flows.check_pause = ReadMs(section, "check_pause_ms");
-  variant.flows.recheck = ReadMs(section, "recheck_ms");
-  variant.flows.distrust = ReadMs(section, "distrust_ms");
-  variant.flows.vanish_grace = ReadMs(section, "vanish_grace_ms");
-  variant.flows.open_depth = section.Integer("open_depth");
-  variant.flows.copy_depth = section.Integer("copy_depth");
+  variant.flows = ReadFlowLimits(section);
   return variant;
 }
 
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -6,6 +6,7 @@
 #include <array>
 
 #include "table/config_table.h"
+#include "table/flow_limit_table.h"
 
 namespace cuminvane {
 
@@ -18,7 +19,8 @@
                "A way of deciding; each is run under the same load."},
 };
 
-inline constexpr std::array kExperimentKeys = {
+/** All but the limits of opaque flows. */
+inline constexpr std::array kExperimentOwnKeys = {
     KeyRow{"fleet", "seed", ValueKind::kInteger, "1", 0, kHighestVersion, "",
            "Seed of everything drawn; --seed goes before it."},
     KeyRow{"fleet", "length_ms", ValueKind::kInteger, "30000", 1000, 3600000,
@@ -89,22 +91,11 @@
            "Kind of work whose route moves or goes."},
     KeyRow{"fault", "data_centre", ValueKind::kWord, "", 0, 0, "",
            "Data centre concerned; none: drawn from the seed."},
-    KeyRow{"variant", "check_wait_ms", ValueKind::kInteger, "150", 10, 60000,
-           "", "As flows.check_wait_ms of a balancer's settings."},
-    KeyRow{"variant", "check_pause_ms", ValueKind::kInteger, "400", 10, 60000,
-           "", "As flows.check_pause_ms."},
-    KeyRow{"variant", "recheck_ms", ValueKind::kInteger, "500", 10, 60000, "",
-           "As flows.recheck_ms."},
-    KeyRow{"variant", "distrust_ms", ValueKind::kInteger, "500", 0, 60000, "",
-           "As flows.distrust_ms."},
-    KeyRow{"variant", "vanish_grace_ms", ValueKind::kInteger, "2000", 0, 60000,
-           "", "As flows.vanish_grace_ms."},
-    KeyRow{"variant", "open_depth", ValueKind::kInteger, "3", 0, 1000, "",
-           "As flows.open_depth."},
-    KeyRow{"variant", "copy_depth", ValueKind::kInteger, "1", 0, 1000, "",
-           "As flows.copy_depth."},
 };
 
+inline constexpr auto kExperimentKeys =
+    JoinKeys(kExperimentOwnKeys, FlowLimitKeys("variant"));
+
 inline constexpr Schema kExperimentSchema{kExperimentSections, kExperimentKeys};
 
 }  // namespace cuminvane
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -7,6 +7,7 @@
 #include <array>
 
 #include "table/config_table.h"
+#include "table/flow_limit_table.h"
 
 namespace cuminvane {
 
@@ -25,7 +26,8 @@
 /** Severities, least first. */
 inline constexpr const char* kSeverityWords = "debug|info|warning|error|off";
 
-inline constexpr std::array kSettingsKeys = {
+/** All but the limits of opaque flows. */
+inline constexpr std::array kSettingsOwnKeys = {
     KeyRow{"vm", "id", ValueKind::kInteger, "0", 0, kHighestVersion, "",
            "Number of this VM in the platform's list; 0 takes the IPv4 address "
            "of listen.peer."},
@@ -126,31 +128,6 @@
            "Parts of the state of opaque flows, each under its own lock."},
     KeyRow{"flows", "remembered", ValueKind::kInteger, "262144", 1024, 16777216,
            "", "Most opaque flows remembered."},
-    KeyRow{"flows", "check_wait_ms", ValueKind::kInteger, "150", 10, 60000, "",
-           "Silence after which a checked backend server is out of reach, in "
-           "milliseconds."},
-    KeyRow{"flows", "check_pause_ms", ValueKind::kInteger, "400", 10, 60000, "",
-           "Least time between two checks of one backend server, in "
-           "milliseconds."},
-    KeyRow{"flows", "recheck_ms", ValueKind::kInteger, "500", 10, 60000, "",
-           "Time between checks of a backend server out of reach, in "
-           "milliseconds."},
-    KeyRow{"flows", "distrust_ms", ValueKind::kInteger, "500", 0, 60000, "",
-           "Time without new flows after a backend server is back, in "
-           "milliseconds, doubled with each loss in short succession."},
-    KeyRow{"flows", "vanish_grace_ms", ValueKind::kInteger, "2000", 0, 60000,
-           "",
-           "Time in which an entry that has left the list may be back, in "
-           "milliseconds; until then the backend server's flows tell whether "
-           "it lives."},
-    KeyRow{"flows", "open_depth", ValueKind::kInteger, "3", 0, 1000, "",
-           "Unanswered requests for each slot of a backend server up to which "
-           "new flows are opened on it; above, a caller's next copy of its "
-           "opening packet is awaited. 0: no limit."},
-    KeyRow{"flows", "copy_depth", ValueKind::kInteger, "1", 0, 1000, "",
-           "The same for copies of an opening packet: where backend servers "
-           "are busy, flows whose answer can still be in time go first. The "
-           "last copy is placed in any case. 0: no limit."},
     KeyRow{"stop", "grace_ms", ValueKind::kInteger, "30000", 0, 3600000, "",
            "Longest wait for requests in progress, in milliseconds."},
     KeyRow{"stop", "linger_ms", ValueKind::kInteger, "2000", 0, 600000, "",
@@ -158,6 +135,9 @@
            "milliseconds."},
 };
 
+inline constexpr auto kSettingsKeys =
+    JoinKeys(kSettingsOwnKeys, FlowLimitKeys("flows"));
+
 inline constexpr Schema kSettingsSchema{kSettingsSections, kSettingsKeys};
 
 }  // namespace cuminvane
