Reset a flow only with evidence of one's own link and documents; leave out full servers

Ruled out: a longer fixed delay, since nothing bounds how far a balancer is behind; a second opinion from another data centre, which costs messages just when the link is full. Change: ResetGuard. A timed-out check is proof only if another balancer or server answered promptly at that time; otherwise the server stays suspected, gets no new flows and is checked again. PacketPlane.ReportUnreachable no longer uses a server that was removed meanwhile.

Also: a new flow goes to a server with an idle slot if there is one, then to one below the queue limit; idle open flows no longer outweigh a request in progress.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -100,7 +100,8 @@
       this->packet_plane.Sync(*view, now);
     }
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
-                            this->CountLocalBalancers(*view), out);
+                            this->CountLocalBalancers(*view),
+                            this->token_plane.ReadSelfEvidence(now), out);
   }
 
   /** @return Whether this balancer is ready to receive callers' packets. */
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -153,9 +153,17 @@
       this->now, DocumentKind::kConfig, this->ConfigText(), this->random, out));
   static_cast<void>(node.balancer->OfferDocument(
       this->now, DocumentKind::kVmList, this->ListText(), this->random, out));
+  node.balancer->GetTokenPlane().ConfirmDocuments(this->now);
   this->SendOutput(node, out);
 }
 
+void World::ConfirmDocuments(BalancerNode& node) const {
+  const auto view = node.balancer->GetTokenPlane().ReadBlackboard();
+  if (view->config.value->version.value == this->config_version &&
+      view->vms.value->version.value == this->list_version)
+    node.balancer->GetTokenPlane().ConfirmDocuments(this->now);
+}
+
 void World::PublishList() {
   ++this->list_version;
   this->NotifyBalancers();
@@ -418,6 +426,8 @@
     const bool ready =
         node.balancer != nullptr && !node.paused && node.balancer->IsReady();
     node.failed_readiness_polls = ready ? 0 : node.failed_readiness_polls + 1;
+    if (node.balancer != nullptr && !node.paused)
+      this->ConfirmDocuments(node);
     if (ready)
       node.in_rotation = true;
     else if (node.failed_readiness_polls >= kReadinessFailureThreshold)
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -148,6 +148,9 @@
   /** Offers the current configuration and VM list to a balancer, unless it is
    * down or paused. */
   void OfferDocuments(BalancerNode& node);
+  /** Confirms a balancer's documents, as its watch of the store would, if they
+   * are the current ones. */
+  void ConfirmDocuments(BalancerNode& node) const;
   /** Publishes a new version of the VM list. */
   void PublishList();
   /**
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -14,6 +14,7 @@
 #include "decision/drop_func.h"
 #include "document/document_base.h"
 #include "member/blackboard_base.h"
+#include "member/evidence_type.h"
 #include "member/member_base.h"
 #include "message/message_func.h"
 
@@ -210,6 +211,26 @@
         [at](MemberTable& table) { table.SetDocumentsConfirmedAt(at); });
   }
 
+  /** @return What this balancer knows about its own state, for decisions that
+   * need proof. */
+  SelfEvidence ReadSelfEvidence(TimePoint now) const {
+    SelfEvidence evidence;
+    this->members.WithLock([&](const MemberTable& table) {
+      evidence.documents_confirmed_at = table.DocumentsConfirmedAt();
+      evidence.prompt_ack_at = table.LastPromptAckAt();
+    });
+    evidence.documents_fresh =
+        evidence.documents_confirmed_at +
+            this->settings.platform_timing.in_force_within >=
+        now;
+    evidence.has_peers =
+        std::ranges::any_of(this->blackboard.Read()->members.value->members,
+                            [](const MemberInfo& member) {
+                              return member.State() != MemberState::kLeft;
+                            });
+    return evidence;
+  }
+
   /** @return Whether this balancer should watch the platform: it is one of the
    * elected watchers, or its documents have not been confirmed for too long, as
    * in a network partition without a watcher. */
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -21,9 +21,10 @@
 /** If a backend server has answered any flow within this time, retransmitted
  * data is no failure signal. */
 constexpr Milliseconds kRecentAnswerAge{150};
-/** A new tag or route address may reach this balancer later than the packets
- * that use it, by up to this time. */
-constexpr Milliseconds kPropagationDelay{1000};
+/** A flow of an unreachable backend server is reset only if this balancer's
+ * link worked within this time; probes of other balancers are sent more often.
+ */
+constexpr Milliseconds kResetEvidenceAge{600};
 /** Minimum time between two resets of one flow. A reset can be lost, so the
  * caller's next packet after this time is answered with another one. */
 constexpr Milliseconds kMinResetInterval{50};
@@ -156,25 +157,29 @@
   return ResetFlow("backend_unreachable", packet, record.backend, context);
 }
 
-/** Handles a packet with an unknown tag. It is dropped while the tag may still
- * be propagating to this balancer; after that the flow is reset. */
+/** Handles a packet with an unknown tag. It is dropped while the backend server
+ * may be missing from this balancer's list of VMs; after that the flow is
+ * reset.
+ */
 PacketAction OnUnknownTag(const PacketContext& context,
                           const OpaquePacket& packet,
                           FlowRecord& record) {
   UncountFlow(record, context.backends);
-  if (record.first_packet_at + kPropagationDelay <= context.now)
+  if (context.backends.Guard().DocumentsCoverFlow(record.first_packet_at,
+                                                  context.now))
     return ResetFlow("backend_unknown", packet, record.backend, context);
   LogFlowDecision("flow_dropped", "backend_unknown", packet, record.backend,
                   Severity::kInfo, context);
   return {};
 }
 
-/** Handles a later packet without a route. It is dropped while the route may
- * still be propagating to this balancer; after that the flow is reset. */
+/** Handles a later packet without a route. It is dropped while the route may be
+ * missing from this balancer's configuration; after that the flow is reset. */
 PacketAction OnRemovedRoute(const PacketContext& context,
                             const OpaquePacket& packet,
                             FlowRecord& record) {
-  if (record.first_packet_at + kPropagationDelay > context.now)
+  if (!context.backends.Guard().DocumentsCoverFlow(record.first_packet_at,
+                                                   context.now))
     return {};
   UncountFlow(record, context.backends);
   return ResetFlow("no_route", packet, record.backend, context);
@@ -305,7 +310,8 @@
     CountFlow(*record, *member);
   this->UpdateSequence(context, packet, *record, *member);
   if (member->liveness.reachability == Reachability::kUnreachable &&
-      !context.backends.IsIsolated())
+      !context.backends.IsIsolated() &&
+      context.backends.Guard().LinkWorkedSince(context.now - kResetEvidenceAge))
     return ResetUnreachable(context, packet, *record);
   if (packet.closes || packet.resets)
     UncountFlow(*record, context.backends);
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -129,13 +129,15 @@
    * @param flow_idle_timeout Time without a packet after which a flow expires.
    * @param local_balancers Number of live balancers in this data centre,
    * including this one.
+   * @param evidence What this balancer knows about its own state.
    */
   void Tick(TimePoint now,
             Milliseconds flow_idle_timeout,
             int local_balancers,
+            const SelfEvidence& evidence,
             PacketOutput& out) {
     this->pool.WithLock([&](BackendPool& backends) {
-      backends.Tick(now, local_balancers, out);
+      backends.Tick(now, local_balancers, evidence, out);
     });
     for (auto& guarded : this->shards) {
       guarded.WithLock([&](FlowShard& shard) {
@@ -225,9 +227,15 @@
     const Incarnation incarnation =
         this->pool.WithLock([&](BackendPool& backends) {
           PoolMember* const member = backends.Find(vm);
+          // The lock was released since the check ended, so the backend server
+          // may have been removed.
+          if (member == nullptr)
+            return Incarnation{};
           member->liveness.reported_at = now;
           return member->incarnation;
         });
+    if (incarnation == Incarnation{})
+      return;
     GossipUpdate({{vm, incarnation}}, members, random, out);
   }
 
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -30,6 +30,9 @@
 /** Ticks further apart than this mean that this process itself has stalled. A
  * health check that timed out during a stall may have been answered. */
 constexpr Milliseconds kStallThreshold{60};
+/** An answer within this time shows that this balancer's own link is not
+ * congested; it normally takes one round trip. */
+constexpr Milliseconds kPromptAnswerTime{60};
 /** Weight of the newest answer in the moving average of answer times. */
 constexpr double kAnswerWeight = 0.1;
 /** A backend server whose answers take more than this many times the mean of
@@ -228,6 +231,20 @@
   return best;
 }
 
+std::vector<PoolMember*> BackendPool::WithRoom(
+    const std::vector<PoolMember*>& candidates,
+    int64_t depth_limit) {
+  for (const int64_t limit : {int64_t{1}, depth_limit}) {
+    std::vector<PoolMember*> with_room;
+    std::ranges::copy_if(
+        candidates, std::back_inserter(with_room),
+        [limit](const PoolMember* member) { return !IsFull(*member, limit); });
+    if (!with_room.empty())
+      return with_room;
+  }
+  return candidates;
+}
+
 bool BackendPool::PrefersLocal(ServiceId service, RandomEngine& random) const {
   const auto found = this->local_utilisation.find(service);
   const double utilisation =
@@ -249,11 +266,13 @@
   std::ranges::copy_if(all, std::back_inserter(local),
                        [](const PoolMember* member) { return member->local; });
   if (!local.empty() && this->PrefersLocal(service, random)) {
-    PoolMember* const best = this->LeastLoaded(local, now, random);
+    PoolMember* const best =
+        this->LeastLoaded(WithRoom(local, depth_limit), now, random);
     if (!IsFull(*best, depth_limit))
       return {best, "near"};
   }
-  return {this->LeastLoaded(all, now, random), "least_loaded"};
+  return {this->LeastLoaded(WithRoom(all, depth_limit), now, random),
+          "least_loaded"};
 }
 
 void BackendPool::OnAlive(PoolMember& member,
@@ -270,6 +289,8 @@
                               TimePoint now,
                               PacketOutput& out) {
   this->OnAlive(member, now, out);
+  if (placed_at + kPromptAnswerTime >= now)
+    this->guard.OnPromptAnswer(now);
   if (IsUnavailable(member) && placed_at > member.liveness.last_loss_at)
     this->MarkRecovered(member, "flow_opened", now, out);
 }
@@ -341,6 +362,8 @@
   liveness.check_pending = false;
   if (result == HealthCheckResult::kAnswered) {
     liveness.last_alive_at = now;
+    if (liveness.suspected_at + kPromptAnswerTime >= now)
+      this->guard.OnPromptAnswer(now);
     if (liveness.reachability == Reachability::kReachable)
       return false;
     this->MarkRecovered(*member, "check_answered", now, out);
@@ -362,6 +385,15 @@
                           out);
     return false;
   }
+  if (result == HealthCheckResult::kTimedOut &&
+      !this->guard.LinkWorkedSince(liveness.suspected_at)) {
+    // The backend server gets no new flows while it is suspected, but its open
+    // ones are kept.
+    liveness.next_check_at = now + this->limits.recheck_interval;
+    this->SetReachability(*member, Reachability::kSuspect, "own_link_slow",
+                          out);
+    return false;
+  }
   liveness.recent_losses = liveness.last_loss_at + kFlapWindow > now
                                ? liveness.recent_losses + 1
                                : 1;
@@ -411,7 +443,11 @@
   out.common.decisions.push_back(decision);
 }
 
-void BackendPool::Tick(TimePoint now, int local_balancers, PacketOutput& out) {
+void BackendPool::Tick(TimePoint now,
+                       int local_balancers,
+                       const SelfEvidence& evidence,
+                       PacketOutput& out) {
+  this->guard.Update(evidence, now);
   if (this->last_tick_at != TimePoint{} &&
       now - this->last_tick_at > kStallThreshold)
     this->last_stall_at = now;
@@ -422,7 +458,10 @@
   this->UpdateLocalUtilisation(now, local_balancers);
   this->UpdateIsolation();
   for (auto& [vm, member] : this->members) {
-    const bool due = IsUnavailable(member) && !member.liveness.check_pending &&
+    const bool unproven =
+        IsUnavailable(member) ||
+        member.liveness.reachability == Reachability::kSuspect;
+    const bool due = unproven && !member.liveness.check_pending &&
                      member.liveness.next_check_at <= now &&
                      member.delisted_at == kNever;
     if (due)
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -15,6 +15,7 @@
 #include "document/settings_type.h"
 #include "document/vmlist_type.h"
 #include "packet/pool_type.h"
+#include "packet/reset_guard_base.h"
 
 namespace cuminvane {
 
@@ -60,8 +61,9 @@
   PoolMember* FindByTag(FlowTag tag);
 
   /**
-   * Chooses a backend server for a new flow: the least loaded one, preferably
-   * in this data centre. It may be full; callers check that with IsFull.
+   * Chooses a backend server for a new flow: the least loaded one of those with
+   * room, preferably in this data centre. It is full only if all are; callers
+   * check that with IsFull.
    * @param service Service of the flow.
    * @param avoided Backend server that left the flow's opening packet
    * unanswered, chosen only if no other is healthy; 0 means none.
@@ -139,8 +141,16 @@
    * stalled if the calls are too far apart.
    * @param local_balancers Number of live balancers in this data centre,
    * including this one.
+   * @param evidence What this balancer knows about its own state.
    */
-  void Tick(TimePoint now, int local_balancers, PacketOutput& out);
+  void Tick(TimePoint now,
+            int local_balancers,
+            const SelfEvidence& evidence,
+            PacketOutput& out);
+
+  /** @return Whether this balancer can vouch for its own state; without that it
+   * resets no flow. */
+  const ResetGuard& Guard() const { return this->guard; }
 
   /** @return Whether nearly all backend servers are suspected or unreachable,
    * which suggests that this balancer's own network has failed. */
@@ -168,6 +178,18 @@
   std::vector<PoolMember*> Candidates(ServiceId service,
                                       VmId avoided,
                                       TimePoint now);
+  /**
+   * Leaves out candidates that would queue a new flow while others would not:
+   * an open flow without a request costs a backend server little, so a server
+   * with many idle flows is better than a full one with few.
+   * @param depth_limit Maximum number of unanswered flows per slot; 0 means no
+   * limit.
+   * @return The candidates with an idle slot; if there is none, those below the
+   * limit; if there is none, all.
+   */
+  static std::vector<PoolMember*> WithRoom(
+      const std::vector<PoolMember*>& candidates,
+      int64_t depth_limit);
   /** @return The candidate with the lowest load. `candidates` is not empty. */
   PoolMember* LeastLoaded(const std::vector<PoolMember*>& candidates,
                           TimePoint now,
@@ -211,6 +233,7 @@
   /** Moving average, by service, of waiting flows per slot of the backend
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
+  ResetGuard guard;          ///< See Guard.
   TimePoint next_update_at;  ///< Until then Tick only detects stalls.
   TimePoint last_stall_at;   ///< When a stall was last detected; TimePoint{}
                              ///< if none.
--- a/src/request/token_plane_base.h
+++ b/src/request/token_plane_base.h
@@ -219,6 +219,11 @@
   }
   /** Records that this balancer had the newest documents at time `at`. */
   void ConfirmDocuments(TimePoint at) { this->control.ConfirmDocuments(at); }
+
+  /** @return What this balancer knows about its own state. */
+  SelfEvidence ReadSelfEvidence(TimePoint now) const {
+    return this->control.ReadSelfEvidence(now);
+  }
   /** @return Whether a configuration and a VM list are active, which is needed
    * to serve callers. */
   bool IsReady() const { return this->control.IsReady(); }
--- a/tests/packet_fake.h
+++ b/tests/packet_fake.h
@@ -175,6 +175,8 @@
   void RunFor(Milliseconds time) {
     for (Milliseconds elapsed{0}; elapsed < time; elapsed += Milliseconds(10)) {
       this->now += Milliseconds(10);
+      if (this->documents_confirmed)
+        this->balancer->GetTokenPlane().ConfirmDocuments(this->now);
       this->balancer->Tick(this->now, this->random, this->out);
     }
   }
@@ -199,6 +201,8 @@
   /** Copy of the pool that PoolMemberOf() last took. */
   std::map<VmId, PoolMember> pool_members;
   int list_version = 0;  ///< Version of the last VM list; 0 if none.
+  /** Whether RunFor confirms that the documents are the newest ones. */
+  bool documents_confirmed = true;
 };
 
 /**
--- a/tests/pool_test.cc
+++ b/tests/pool_test.cc
@@ -327,3 +327,29 @@
   CHECK(third.type == PacketActionType::kForward);
   CHECK(third.backend == VmId{2});
 }
+
+/** Server 1 has one open flow with a request in progress, server 2 has many
+ * idle flows. A new flow on server 1 could have to queue. */
+TEST(Pool, FullServerGetsNoNewFlowWhileAnotherHasAnIdleSlot) {
+  FakePacketPlane plane;
+  plane.settings.flows.opening_depth_limit = 3;
+  plane.Restart();
+  plane.OfferConfig(1);
+  plane.OfferVmList({{1}});
+  std::vector<PacketAction> busy;
+  for (uint32_t caller = 0; caller < 2; ++caller)
+    busy.push_back(plane.EstablishFlow(FakePacketPlane::KeyOfCaller(caller)));
+  plane.OfferVmList({{2}});
+  for (uint32_t caller = 10; caller < 20; ++caller)
+    plane.EstablishFlow(FakePacketPlane::KeyOfCaller(caller));
+  plane.OfferVmList({{1}, {2}});
+  LONGS_EQUAL(2, plane.PoolMemberOf(VmId{1}).flows);
+  LONGS_EQUAL(10, plane.PoolMemberOf(VmId{2}).flows);
+  // Both slots of server 1 are taken by requests.
+  for (uint32_t caller = 0; caller < 2; ++caller)
+    plane.SendData(FakePacketPlane::KeyOfCaller(caller), busy[caller].tag, 101,
+                   1000, 50);
+  for (uint32_t caller = 30; caller < 36; ++caller)
+    CHECK(plane.EstablishFlow(FakePacketPlane::KeyOfCaller(caller)).backend ==
+          VmId{2});
+}
