Documents are fetched over TCP, compressed and paced, instead of pulled in chunks

Cause: whole documents went in chunks of 1,200 bytes that each balancer that was behind requested from a peer again every 100 ms, without pacing. Ruled out: a congestion control of one's own over datagrams; every balancer reading the store (calls grow with the fleet). Change: FetchPlan decides when and from whom (one at a time, own data centre first, growing delay); StartFetch and FetchServer carry it, at a quarter of the link; deltas apply to every version not older than their start and are checked by the digest. Settings section "documents". Each data centre has a watcher. All copies now wait at the paused owner; the check is the same.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -77,6 +77,21 @@
     return accepted;
   }
 
+  /** Handles the end of a fetch from another balancer.
+   * @param kind PeerFetch::kind of the fetch.
+   * @param header First part of the answer; empty if the fetch failed.
+   * @param content Second part of the answer. */
+  void OnFetchEnded(TimePoint now,
+                    uint8_t kind,
+                    std::string_view header,
+                    std::string_view content,
+                    RandomEngine& random,
+                    PacketOutput& out) {
+    this->token_plane.OnFetchEnded(now, kind, header, content, random,
+                                   out.common);
+    this->SyncPacketPlane(now);
+  }
+
   /** Handles the result of a health check that the packet plane requested. */
   void OnHealthCheckResult(TimePoint now,
                            VmId vm,
--- a/src/decision/output_type.h
+++ b/src/decision/output_type.h
@@ -28,6 +28,16 @@
   bool operator==(const Datagram&) const = default;
 };
 
+/** A request to another balancer whose answer can be larger than a datagram. The
+ * shell sends it over a connection of its own and reports how it ended. */
+struct PeerFetch {
+  uint8_t kind = 0;     ///< What is fetched; returned with the result.
+  Endpoint peer;        ///< Balancer that is asked.
+  std::string request;  ///< The whole message.
+
+  bool operator==(const PeerFetch&) const = default;
+};
+
 /** Outcome of one request at this balancer, for the latency histograms. */
 struct RequestSample {
   ClassId work_class;
@@ -43,12 +53,14 @@
   std::vector<Datagram> datagrams;
   std::vector<Decision> decisions;
   std::vector<RequestSample> samples;
+  std::vector<PeerFetch> fetches;
 
   /** Removes all output but keeps the allocated memory for the next call. */
   void Clear() {
     this->datagrams.clear();
     this->decisions.clear();
     this->samples.clear();
+    this->fetches.clear();
   }
 };
 
--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -9,6 +9,8 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,9 +20,11 @@
 #include "base/result_type.h"
 #include "base/time_type.h"
 #include "decision/output_type.h"
+#include "document/compress_func.h"
 #include "document/config_func.h"
 #include "document/document_func.h"
 #include "document/document_type.h"
+#include "document/fetch_plan_base.h"
 #include "document/vmlist_func.h"
 #include "message/message_func.h"
 
@@ -52,6 +56,12 @@
   }
 };
 
+/** Answer to a fetch: two parts that are sent one after the other. */
+struct FetchAnswer {
+  std::string header;                          ///< An encoded DocumentAnswer.
+  std::shared_ptr<const std::string> content;  ///< Compressed delta or text.
+};
+
 /** Parser and kind of a document. */
 template <class Traits>
 concept DocumentTraits = requires(std::string_view text,
@@ -65,8 +75,8 @@
  * back.
  *
  * A new version spreads by pushed deltas. A balancer that missed a delta
- * detects this by the stamps in membership messages and pulls the deltas, or
- * the whole text in chunks if the deltas are no longer kept.
+ * detects this by the stamps in membership messages and fetches the difference
+ * over a connection, or the whole text if its own version is too old.
  */
 template <DocumentTraits Traits>
 class DocumentStore {
@@ -86,164 +96,167 @@
   /**
    * Activates a document if it is valid and newer.
    * @param text The document.
+   * @param now The current time.
    * @param peers Peers to which the delta may be pushed.
    * @param random Chooses among the peers.
    * @param out Receives the messages and the log entry.
    * @return kOk if it was activated or is active already; kInvalidDocument with
    * all problems; kStaleDocument if it is not newer.
    */
-  Result<void> Offer(std::string_view text,
+  Result<void> Offer(TimePoint now,
+                     std::string_view text,
                      const std::vector<Endpoint>& peers,
                      RandomEngine& random,
                      Output& out) {
     IniProblems problems;
     const IniDocument document =
         ReadIni(ToString(Traits::kKind), text, problems);
-    return this->AcceptIfNewer(Canonicalize(document), text, peers, random,
-                               out);
+    return this->AcceptIfNewer(now, Canonicalize(document), text, peers,
+                               random, out);
   }
 
   /** Compares the stamp in a membership message with the stamp of the active
-   * document, and pulls if the peer has a newer document. */
+   * document; a newer one will be fetched. */
   void OnPeerStamp(TimePoint now,
-                   const Endpoint& peer,
+                   const DocumentSource& source,
                    const DocumentStamp& peer_stamp,
-                   Output& out) {
+                   RandomEngine& random) {
     this->newest_peer_stamp = std::max(this->newest_peer_stamp, peer_stamp);
-    if (peer_stamp <= this->stamp || now < this->next_pull_at)
-      return;
-    this->next_pull_at = now + kPullInterval;
-    this->SendPull(peer, out);
+    if (peer_stamp > this->stamp)
+      this->plan.OnNewerVersion(source, peer_stamp, this->current != nullptr,
+                                now, random);
   }
 
-  /** Applies a pushed or pulled delta. Pulls if the delta starts at another
-   * version. */
-  void OnDelta(const Endpoint& peer,
-               const DocumentDelta& delta,
-               const std::vector<Endpoint>& peers,
-               RandomEngine& random,
-               Output& out) {
-    if (delta.to <= this->stamp)
-      return;
-    if (delta.from != this->stamp) {
-      this->SendPull(peer, out);
-      return;
-    }
-    SectionTexts result = ApplyDelta(this->sections, delta);
-    const std::string text = JoinSections(result);
-    if (DigestOf(text) != delta.to.digest) {
-      this->LogEvent("delta_refused", "digest", ResultCode::kInvalidDocument,
-                     out);
-      return;
-    }
-    // AcceptIfNewer logs a refusal; the sender is not notified.
-    static_cast<void>(
-        this->AcceptIfNewer(std::move(result), text, peers, random, out));
+  /** Applies a pushed delta if it leads from the active version, or an older
+   * one, to a newer one. */
+  void OnPush(TimePoint now,
+              const DocumentPush& push,
+              const std::vector<Endpoint>& peers,
+              RandomEngine& random,
+              Output& out) {
+    if (push.to <= this->stamp || !this->CanApplyFrom(push.from))
+      return;  // The stamps in membership messages make up for it.
+    this->ApplyPackedDelta(now, AsStringView(push.packed_delta), push.to, peers,
+                           random, out);
   }
 
-  /** Answers a pull with the requested chunk, with deltas, or with the first
-   * chunk if the kept deltas do not start at the peer's version or are too
-   * large. */
-  void OnPull(const Endpoint& peer,
-              const DocumentPull& pull,
-              Output& out) const {
-    if (this->current == nullptr || pull.have >= this->stamp)
-      return;
-    if (pull.want == this->stamp) {
-      this->SendChunk(peer, pull.index, out);
-      return;
-    }
-    const size_t first = this->FirstDeltaFrom(pull.have);
-    if (first == this->deltas.size()) {
-      this->SendChunk(peer, 0, out);
-      return;
-    }
-    for (size_t index = first; index < this->deltas.size(); ++index)
-      out.datagrams.push_back(
-          {Channel::kPeer, peer, Encode(this->deltas[index])});
+  /** @return The answer to a fetch of a peer; no value if there is nothing newer
+   * than the peer has. */
+  std::optional<FetchAnswer> AnswerFetch(const DocumentStamp& have) {
+    if (this->current == nullptr || have >= this->stamp)
+      return std::nullopt;
+    const std::optional<DocumentDelta> delta = this->DeltaSince(have);
+    const DocumentStamp from = delta ? have : DocumentStamp{};
+    std::shared_ptr<const std::string>& content = this->packed[from];
+    if (content == nullptr)
+      content = std::make_shared<const std::string>(
+          delta ? PackDelta(*delta) : Compress(this->text));
+    const DocumentAnswer answer{static_cast<uint8_t>(Traits::kKind), from,
+                                this->stamp};
+    return FetchAnswer{Encode(answer), content};
   }
 
-  /** Stores a chunk of a whole document; requests further chunks, and offers
-   * the text when it is complete. */
-  void OnChunk(TimePoint now,
-               const Endpoint& peer,
-               const DocumentChunk& chunk,
-               const std::vector<Endpoint>& peers,
-               RandomEngine& random,
-               Output& out) {
-    if (chunk.stamp <= this->stamp || chunk.count == 0 ||
-        chunk.count > kMaxChunks)
-      return;
-    if (chunk.stamp < this->download.stamp)
-      return;
-    if (chunk.stamp != this->download.stamp)
-      this->download = {
-          chunk.stamp, peer, std::vector<std::string>(chunk.count),
-          0,           0,    kNever};
-    if (chunk.index >= this->download.chunks.size())
-      return;
-    std::string& stored_chunk = this->download.chunks[chunk.index];
-    if (stored_chunk.empty())
-      ++this->download.arrived;
-    stored_chunk = AsStringView(chunk.payload);
-    this->download.peer = peer;
-    if (this->download.arrived < this->download.chunks.size()) {
-      if (this->download.arrived >= this->download.window_end)
-        this->RequestMissingChunks(now, out);
-      return;
-    }
-    std::string text;
-    for (const std::string& piece : this->download.chunks)
-      text += piece;
-    this->download = {};
-    // AcceptIfNewer logs a refusal; the sender is not notified.
-    static_cast<void>(this->Offer(text, peers, random, out));
+  /**
+   * Handles the answer to a fetch.
+   * @param content Whole content that followed the answer.
+   */
+  void OnFetched(TimePoint now,
+                 const DocumentAnswer& answer,
+                 std::string_view content,
+                 const std::vector<Endpoint>& peers,
+                 RandomEngine& random,
+                 Output& out) {
+    const DocumentStamp before = this->stamp;
+    if (answer.to > this->stamp && answer.from == DocumentStamp{})
+      this->ApplyPackedText(now, content, peers, random, out);
+    else if (answer.to > this->stamp && this->CanApplyFrom(answer.from))
+      this->ApplyPackedDelta(now, content, answer.to, peers, random, out);
+    this->plan.OnEnded(this->stamp > before, now, random);
+  }
+
+  /** A fetch has failed: the peer was unreachable, broke off or had nothing
+   * newer. */
+  void OnFetchFailed(TimePoint now, RandomEngine& random) {
+    this->plan.OnEnded(false, now, random);
   }
 
-  /** Requests missing chunks again after kChunkRetryInterval. */
-  void Tick(TimePoint now, Output& out) {
-    if (this->download.chunks.empty() || now < this->download.retry_at)
+  /** Starts a fetch if one is due. */
+  void Tick(TimePoint now, RandomEngine& random, Output& out) {
+    const std::optional<Endpoint> peer = this->plan.StartDue(now, random);
+    if (!peer)
       return;
-    this->RequestMissingChunks(now, out);
+    const DocumentFetch fetch{static_cast<uint8_t>(Traits::kKind), this->stamp};
+    out.fetches.push_back({fetch.kind, *peer, Encode(fetch)});
   }
 
  private:
-  /** Minimum time between two pulls caused by stamps of peers. */
-  static constexpr Milliseconds kPullInterval{150};
-  /** Time after which missing chunks are requested again. */
-  static constexpr Milliseconds kChunkRetryInterval{100};
-  /** Size of a chunk in bytes; a chunk fits into one datagram. */
-  static constexpr size_t kChunkBytes = 1200;
-  /** Maximum number of chunks of a document; chunks of larger documents are
-   * ignored. */
-  static constexpr size_t kMaxChunks = 2048;
-  /** Maximum number of chunks requested at once. */
-  static constexpr size_t kChunkWindow = 8;
-  /** Number of deltas kept for peers that have an older version. */
-  static constexpr size_t kMaxDeltas = 64;
-  /** Maximum size of encoded deltas in bytes; larger changes are sent as
-   * chunks. */
-  static constexpr size_t kMaxDeltaBytes = 4096;
+  /** Number of changes that are remembered for peers with an older version. */
+  static constexpr size_t kMaxChanges = 64;
+  /** Maximum size of a pushed delta in bytes; larger ones are fetched. */
+  static constexpr size_t kMaxPushBytes = 4096;
   /** Number of random peers to which a new delta is pushed. */
   static constexpr size_t kPushFanout = 3;
 
-  /** Download of a whole document in chunks. */
-  struct ChunkDownload {
-    DocumentStamp stamp;  ///< Version being downloaded.
-    Endpoint peer;        ///< Peer that sent the last chunk; the next ones are
-                          ///< requested from it.
-    std::vector<std::string> chunks;  ///< By index; empty means missing.
-    size_t arrived = 0;               ///< Number of chunks that have arrived.
-    /** Number of arrived chunks at which the next window is requested. */
-    size_t window_end = 0;
-    TimePoint retry_at = kNever;  ///< Time to request missing chunks again.
+  /** Which sections changed from one version to the next one. */
+  struct Change {
+    DocumentStamp from;
+    DocumentStamp to;
+    std::vector<std::string> sections;  ///< Changed, new and removed sections.
   };
 
+  /** @return Whether a delta from that version can be applied. Versions of the
+   * platform are one sequence, so a delta that starts earlier contains every
+   * section that has changed since the active version; the digest shows whether
+   * the result is right. */
+  bool CanApplyFrom(const DocumentStamp& from) const {
+    return this->current != nullptr && from.version <= this->stamp.version;
+  }
+
+  void ApplyPackedDelta(TimePoint now,
+                        std::string_view packed_delta,
+                        const DocumentStamp& to,
+                        const std::vector<Endpoint>& peers,
+                        RandomEngine& random,
+                        Output& out) {
+    const Result<DocumentDelta> delta = UnpackDelta(packed_delta);
+    if (!delta) {
+      this->LogEvent("delta_refused", "garbage", delta.error().code, out);
+      return;
+    }
+    SectionTexts result = ApplyDelta(this->sections, delta.value());
+    const std::string result_text = JoinSections(result);
+    if (DigestOf(result_text) != to.digest) {
+      this->LogEvent("delta_refused", "digest", ResultCode::kInvalidDocument,
+                     out);
+      return;
+    }
+    // AcceptIfNewer logs a refusal; the sender is not notified.
+    static_cast<void>(this->AcceptIfNewer(now, std::move(result), result_text,
+                                          peers, random, out));
+  }
+
+  void ApplyPackedText(TimePoint now,
+                       std::string_view packed_text,
+                       const std::vector<Endpoint>& peers,
+                       RandomEngine& random,
+                       Output& out) {
+    const Result<std::string> whole_text = Decompress(packed_text);
+    if (!whole_text) {
+      this->LogEvent("document_refused", "garbage", whole_text.error().code,
+                     out);
+      return;
+    }
+    // Offer logs a refusal; the sender is not notified.
+    static_cast<void>(
+        this->Offer(now, whole_text.value(), peers, random, out));
+  }
+
   /** Validates a document, and activates it and pushes its delta if it is
    * newer. Results as for Offer().
    * @param new_sections Canonical sections of the document.
    * @param published Text to validate. */
-  Result<void> AcceptIfNewer(SectionTexts new_sections,
+  Result<void> AcceptIfNewer(TimePoint now,
+                             SectionTexts new_sections,
                              std::string_view published,
                              const std::vector<Endpoint>& peers,
                              RandomEngine& random,
@@ -270,8 +283,13 @@
                        " is not newer than version " +
                        ToString(this->stamp.version) + ", which is active"};
     }
+    const DocumentDelta delta = MakeDelta(this->sections, new_sections);
+    const DocumentStamp before = this->stamp;
     this->Activate(std::move(new_sections), std::move(value), offered, out);
-    this->PushDelta(peers, random, out);
+    this->RecordChange(before, delta);
+    this->plan.OnProgress(offered, now, random);
+    if (before != DocumentStamp{})
+      this->PushDelta(before, delta, peers, random, out);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -279,80 +297,66 @@
                 Value value,
                 const DocumentStamp& offered,
                 Output& out) {
-    DocumentDelta delta = MakeDelta(this->sections, new_sections);
-    delta.kind = static_cast<uint8_t>(Traits::kKind);
-    delta.from = this->stamp;
-    delta.to = offered;
-    this->deltas.push_back(std::move(delta));
-    if (this->deltas.size() > kMaxDeltas)
-      this->deltas.pop_front();
     this->sections = std::move(new_sections);
     this->text = JoinSections(this->sections);
     this->current = std::make_shared<const Value>(std::move(value));
     this->stamp = offered;
+    this->packed.clear();
     this->LogEvent("document_in_force", ToString(Traits::kKind),
                    ResultCode::kOk, out);
   }
 
-  void PushDelta(const std::vector<Endpoint>& peers,
+  void RecordChange(const DocumentStamp& before, const DocumentDelta& delta) {
+    Change change{before, this->stamp, delta.removed};
+    for (const SectionText& section : delta.changed)
+      change.sections.push_back(section.name);
+    this->changes.push_back(std::move(change));
+    if (this->changes.size() > kMaxChanges)
+      this->changes.pop_front();
+  }
+
+  void PushDelta(const DocumentStamp& before,
+                 const DocumentDelta& delta,
+                 const std::vector<Endpoint>& peers,
                  RandomEngine& random,
                  Output& out) const {
-    const std::string delta = Encode(this->deltas.back());
-    if (delta.size() > kMaxDeltaBytes)
+    const std::string packed_delta = PackDelta(delta);
+    if (packed_delta.size() > kMaxPushBytes)
       return;  // The peers learn of the new version by the stamps in
-               // membership messages, and pull it.
+               // membership messages, and fetch it.
+    const std::string push =
+        Encode(DocumentPush{static_cast<uint8_t>(Traits::kKind), before,
+                            this->stamp, MakeBlob(packed_delta)});
     std::vector<Endpoint> chosen;
     std::ranges::sample(peers, std::back_inserter(chosen), kPushFanout, random);
     for (const Endpoint& peer : chosen)
-      out.datagrams.push_back({Channel::kPeer, peer, delta});
-  }
-
-  void SendPull(const Endpoint& peer, Output& out) const {
-    const DocumentPull pull{
-        static_cast<uint8_t>(Traits::kKind), this->stamp, {}, 0};
-    out.datagrams.push_back({Channel::kPeer, peer, Encode(pull)});
-  }
-
-  /** @return Index of the delta that starts at `have`; the number of deltas if
-   * there is none, or if the deltas from there exceed kMaxDeltaBytes. */
-  size_t FirstDeltaFrom(const DocumentStamp& have) const {
-    const auto first =
-        std::ranges::find(this->deltas, have, &DocumentDelta::from);
-    size_t bytes = 0;
-    for (auto delta = first; delta != this->deltas.end(); ++delta)
-      bytes += Encode(*delta).size();
-    const bool use_deltas = have != DocumentStamp{} && bytes <= kMaxDeltaBytes;
-    return use_deltas ? static_cast<size_t>(first - this->deltas.begin())
-                      : this->deltas.size();
-  }
-
-  void SendChunk(const Endpoint& peer, uint32_t index, Output& out) const {
-    const size_t count = (this->text.size() + kChunkBytes - 1) / kChunkBytes;
-    if (index >= count)
-      return;
-    const std::string_view piece =
-        std::string_view(this->text).substr(index * kChunkBytes, kChunkBytes);
-    const DocumentChunk chunk{static_cast<uint8_t>(Traits::kKind), this->stamp,
-                              index, static_cast<uint32_t>(count),
-                              MakeBlob(piece)};
-    out.datagrams.push_back({Channel::kPeer, peer, Encode(chunk)});
+      out.datagrams.push_back({Channel::kPeer, peer, push});
   }
 
-  void RequestMissingChunks(TimePoint now, Output& out) {
-    size_t requested = 0;
-    for (uint32_t index = 0;
-         index < this->download.chunks.size() && requested < kChunkWindow;
-         ++index) {
-      if (!this->download.chunks[index].empty())
-        continue;
-      const DocumentPull pull{static_cast<uint8_t>(Traits::kKind), this->stamp,
-                              this->download.stamp, index};
-      out.datagrams.push_back(
-          {Channel::kPeer, this->download.peer, Encode(pull)});
-      ++requested;
+  /** @return The delta from `have` to the active version; no value if the
+   * changes since then are not remembered. */
+  std::optional<DocumentDelta> DeltaSince(const DocumentStamp& have) const {
+    // The first change from no document to the first version is the whole text.
+    const auto first = std::ranges::find_if(
+        this->changes, [&](const Change& change) {
+          return change.from != DocumentStamp{} &&
+                 change.from.version <= have.version &&
+                 have.version < change.to.version;
+        });
+    if (have == DocumentStamp{} || first == this->changes.end())
+      return std::nullopt;
+    std::set<std::string> names;
+    for (auto change = first; change != this->changes.end(); ++change)
+      names.insert(change->sections.begin(), change->sections.end());
+    DocumentDelta delta;
+    for (const std::string& name : names) {
+      const auto section = this->sections.find(name);
+      if (section == this->sections.end())
+        delta.removed.push_back(name);
+      else
+        delta.changed.push_back({name, section->second});
     }
-    this->download.window_end = this->download.arrived + requested;
-    this->download.retry_at = now + kChunkRetryInterval;
+    return delta;
   }
 
   void LogEvent(const char* event,
@@ -375,10 +379,11 @@
   DocumentStamp newest_peer_stamp;       ///< Newest stamp reported by any peer.
   SectionTexts sections;                 ///< Sections of the active document.
   std::string text;                  ///< Canonical text of the active document.
-  std::deque<DocumentDelta> deltas;  ///< Latest deltas, oldest first.
-  ChunkDownload download;  ///< Has no chunks if no download is running.
-  /** Earliest time of the next pull caused by a stamp. */
-  TimePoint next_pull_at;
+  std::deque<Change> changes;        ///< Latest changes, oldest first.
+  FetchPlan plan;                    ///< When and where to fetch from.
+  /** Contents of answers to fetches of the active version, by the version that
+   * they start from, so that they are compressed once. */
+  std::map<DocumentStamp, std::shared_ptr<const std::string>> packed;
   /** Digest of the last invalid document, so that it is logged once; 0 if
    * none. */
   uint64_t refused_digest = 0;
--- a/src/document/document_func.cc
+++ b/src/document/document_func.cc
@@ -5,7 +5,15 @@
 
 #include <xxhash.h>
 
+#include "document/compress_func.h"
+
 namespace cuminvane {
+namespace {
+
+/** Nesting of a delta: the delta, its list of sections, a section. */
+constexpr size_t kMaxDeltaNesting = 4;
+
+}  // namespace
 
 const char* ToString(DocumentKind kind) {
   return kind == DocumentKind::kConfig ? "config" : "vms";
@@ -57,4 +65,26 @@
   return result;
 }
 
+std::string PackDelta(const DocumentDelta& delta) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, delta);
+  return Compress({buffer.data(), buffer.size()});
+}
+
+Result<DocumentDelta> UnpackDelta(std::string_view packed) {
+  BOOST_OUTCOME_TRY(bytes, Decompress(packed));
+  // One byte of a message is at least one item, so this bounds the memory.
+  const size_t limit = bytes.size();
+  try {
+    const msgpack::object_handle object = msgpack::unpack(
+        bytes.data(), bytes.size(), nullptr, nullptr,
+        msgpack::unpack_limit(limit, 0, limit, 0, 0, kMaxDeltaNesting));
+    return object->as<DocumentDelta>();
+  } catch (const msgpack::unpack_error&) {
+    return Error{ResultCode::kGarbage, "a delta is not MessagePack"};
+  } catch (const msgpack::type_error&) {
+    return Error{ResultCode::kGarbage, "a delta has a field of a wrong type"};
+  }
+}
+
 }  // namespace cuminvane
--- a/src/document/document_func.h
+++ b/src/document/document_func.h
@@ -28,8 +28,7 @@
 /** @return Hash of a canonical text. */
 uint64_t DigestOf(std::string_view canonical_text);
 
-/** @return The delta from `old_sections` to `new_sections`; its kind and stamps
- * are left for the caller to set. */
+/** @return The delta from `old_sections` to `new_sections`. */
 DocumentDelta MakeDelta(const SectionTexts& old_sections,
                         const SectionTexts& new_sections);
 
@@ -37,6 +36,12 @@
 SectionTexts ApplyDelta(const SectionTexts& sections,
                         const DocumentDelta& delta);
 
+/** @return The encoded and compressed delta. */
+std::string PackDelta(const DocumentDelta& delta);
+
+/** @return The delta, or kGarbage if the bytes are not a packed delta. */
+Result<DocumentDelta> UnpackDelta(std::string_view packed);
+
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_DOCUMENT_DOCUMENT_FUNC_H_
--- a/src/document/document_type.h
+++ b/src/document/document_type.h
@@ -40,42 +40,46 @@
 
 /** Difference between two versions of a document. */
 struct DocumentDelta {
-  static constexpr MessageType kType = MessageType::kDocumentDelta;
-  uint8_t kind = 0;                  ///< A DocumentKind.
-  DocumentStamp from;                ///< Version to which the delta applies.
-  DocumentStamp to;                  ///< Version after the delta.
   std::vector<std::string> removed;  ///< Names of removed sections.
   std::vector<SectionText> changed;  ///< New and changed sections.
 
   bool operator==(const DocumentDelta&) const = default;
-  MSGPACK_DEFINE_ARRAY(kind, from, to, removed, changed)
+  MSGPACK_DEFINE_ARRAY(removed, changed)
 };
 
-/** Asks a peer for a newer version of a document, or for one chunk of it. */
-struct DocumentPull {
-  static constexpr MessageType kType = MessageType::kDocumentPull;
+/** Sends a new version to a peer as a delta that fits into one datagram. */
+struct DocumentPush {
+  static constexpr MessageType kType = MessageType::kDocumentPush;
+  uint8_t kind = 0;    ///< A DocumentKind.
+  DocumentStamp from;  ///< Version that the delta was made from.
+  DocumentStamp to;    ///< Version after the delta.
+  Blob packed_delta;   ///< The DocumentDelta, as PackDelta() returns it.
+
+  bool operator==(const DocumentPush&) const = default;
+  MSGPACK_DEFINE_ARRAY(kind, from, to, packed_delta)
+};
+
+/** Asks a peer, over a connection, for a newer version of a document. */
+struct DocumentFetch {
+  static constexpr MessageType kType = MessageType::kDocumentFetch;
   uint8_t kind = 0;    ///< A DocumentKind.
   DocumentStamp have;  ///< Active version of the sender.
-  /** Document whose chunk `index` is requested; DocumentStamp{} asks for deltas
-   * since `have`, or for the first chunk if there are none. */
-  DocumentStamp want;
-  uint32_t index = 0;  ///< Index of the requested chunk, from 0.
 
-  bool operator==(const DocumentPull&) const = default;
-  MSGPACK_DEFINE_ARRAY(kind, have, want, index)
+  bool operator==(const DocumentFetch&) const = default;
+  MSGPACK_DEFINE_ARRAY(kind, have)
 };
 
-/** One chunk of the canonical text of a document. */
-struct DocumentChunk {
-  static constexpr MessageType kType = MessageType::kDocumentChunk;
-  uint8_t kind = 0;     ///< A DocumentKind.
-  DocumentStamp stamp;  ///< Version of the document.
-  uint32_t index = 0;   ///< Index of the chunk, from 0.
-  uint32_t count = 0;   ///< Number of chunks of the document.
-  Blob payload;         ///< Bytes of the chunk.
-
-  bool operator==(const DocumentChunk&) const = default;
-  MSGPACK_DEFINE_ARRAY(kind, stamp, index, count, payload)
+/** Starts the answer to a DocumentFetch; the compressed content follows it. */
+struct DocumentAnswer {
+  static constexpr MessageType kType = MessageType::kDocumentAnswer;
+  uint8_t kind = 0;  ///< A DocumentKind.
+  /** Version that the content is a delta from; DocumentStamp{} if the content
+   * is the whole text. */
+  DocumentStamp from;
+  DocumentStamp to;  ///< Version that the content leads to.
+
+  bool operator==(const DocumentAnswer&) const = default;
+  MSGPACK_DEFINE_ARRAY(kind, from, to)
 };
 
 }  // namespace cuminvane
--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -47,6 +47,11 @@
       section.Millis("pause_ms"), section.Millis("retry_ms")};
 }
 
+void ReadDocumentsSection(const SectionReader& section, Settings& settings) {
+  settings.documents = {section.Decimal("link_mbps"),
+                        static_cast<int>(section.Integer("link_percent"))};
+}
+
 void ReadLogSection(const SectionReader& section, Settings& settings) {
   for (const Topic topic : kTopics) {
     settings.log_levels.min_severity[static_cast<size_t>(topic)] =
@@ -128,10 +133,11 @@
   const IniDocument document = ReadIni(file, text, check.problems);
   CheckSchema(document, kSettingsSchema, check.problems);
   using Reader = void (*)(const SectionReader&, Settings&);
-  constexpr std::array<std::pair<std::string_view, Reader>, 8> kReaders = {{
+  constexpr std::array<std::pair<std::string_view, Reader>, 9> kReaders = {{
       {"vm", ReadVmSection},
       {"listen", ReadListenSection},
       {"platform", ReadPlatformSection},
+      {"documents", ReadDocumentsSection},
       {"log", ReadLogSection},
       {"requests", ReadRequestsSection},
       {"membership", ReadMembershipSection},
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -50,7 +50,8 @@
 struct PlatformTiming {
   Milliseconds in_force_within{4000};  ///< Maximum time from a change at the
                                        ///< platform until it is active here.
-  size_t watchers = 3;  ///< Number of balancers that watch the platform.
+  size_t watchers = 1;  ///< Number of balancers of each data centre that watch
+                        ///< the platform.
   /** Pause after changes were read, so that further changes arrive in one
    * answer; limited to a quarter of `in_force_within`. */
   Milliseconds read_pause{700};
@@ -93,6 +94,24 @@
   bool operator==(const FlowLimits&) const = default;
 };
 
+/** Limits of the documents that a balancer sends to others. */
+struct DocumentLimits {
+  /** Rate of this VM's network link in megabits per second; 0 means unknown, and
+   * transfers are not limited. */
+  double link_mbps = 0;
+  /** Maximum share of the link for documents, in percent. */
+  int link_percent = 25;
+
+  bool operator==(const DocumentLimits&) const = default;
+
+  /** @return Maximum bytes per second of all transfers; 0 means no limit. */
+  int64_t BytesPerSecond() const {
+    constexpr double kBytesPerMegabit = 125000;
+    return static_cast<int64_t>(this->link_mbps * kBytesPerMegabit *
+                                this->link_percent / 100);
+  }
+};
+
 /** All settings of a balancer. */
 struct Settings {
   VmId id;                  ///< VM of this balancer.
@@ -114,6 +133,7 @@
   int control_threads = 2;  ///< Threads that serve operators.
   Endpoint platform;  ///< HTTP address of the platform's configuration service.
   PlatformTiming platform_timing;
+  DocumentLimits documents;
   LogLevels log_levels;   ///< Minimum severities by topic.
   int lines_per_s = 500;  ///< Maximum log lines per second.
   /** Maximum log lines per second about invalid input. */
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -36,6 +36,7 @@
   explicit ControlPlane(const Settings& settings)
       : settings(settings),
         members(MakeSelf(settings), settings.membership),
+        data_centre(DataCentreIdOf(settings.data_centre)),
         seed_peers(settings.seed_peers) {
     SelfState self;
     self.id = SelfInstance(settings);
@@ -63,26 +64,27 @@
                              std::string_view text,
                              RandomEngine& random,
                              Output& out) {
-    const std::vector<Endpoint> peers = this->PeerEndpoints();
+    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
     Result<void> result = kind == DocumentKind::kConfig
                               ? this->config.WithLock([&](auto& store) {
-                                  return store.Offer(text, peers, random, out);
+                                  return store.Offer(now, text, peers, random,
+                                                     out);
                                 })
                               : this->vms.WithLock([&](auto& store) {
-                                  return store.Offer(text, peers, random, out);
+                                  return store.Offer(now, text, peers, random,
+                                                     out);
                                 });
     this->PublishDocuments(now);
     return result;
   }
 
-  /** Runs timers: probes, repeated requests for missing chunks, and the start
-   * of serving. */
+  /** Runs timers: probes, fetches of documents, and the start of serving. */
   void Tick(TimePoint now, RandomEngine& random, Output& out) {
     this->members.WithLock(
         [&](MemberTable& table) { table.Tick(now, random, out); });
     this->PublishMembers(now);
-    this->config.WithLock([&](auto& store) { store.Tick(now, out); });
-    this->vms.WithLock([&](auto& store) { store.Tick(now, out); });
+    this->config.WithLock([&](auto& store) { store.Tick(now, random, out); });
+    this->vms.WithLock([&](auto& store) { store.Tick(now, random, out); });
     this->AdvanceStartup(now, out);
   }
 
@@ -92,6 +94,7 @@
                            const Endpoint& from,
                            std::string_view bytes,
                            const DatagramHeader& header,
+                           RandomEngine& random,
                            Output& out) {
     if (header.type == MessageType::kPing) {
       const Result<Ping> ping = Decode<Ping>(bytes, header);
@@ -102,8 +105,9 @@
       this->members.WithLock([&](MemberTable& table) {
         table.OnPing(now, from, ping.value(), out);
       });
-      this->OnPeerVersions(now, from, ping.value().versions,
-                           ping.value().confirmed_age_ms_plus_one, out);
+      this->OnPeerVersions(now, this->SourceOf(from, ping.value().from),
+                           ping.value().versions,
+                           ping.value().confirmed_age_ms_plus_one, random);
     } else if (header.type == MessageType::kAck) {
       const Result<Ack> ack = Decode<Ack>(bytes, header);
       if (!ack) {
@@ -112,8 +116,9 @@
       }
       this->members.WithLock(
           [&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
-      this->OnPeerVersions(now, from, ack.value().versions,
-                           ack.value().confirmed_age_ms_plus_one, out);
+      this->OnPeerVersions(now, this->SourceOf(from, ack.value().from),
+                           ack.value().versions,
+                           ack.value().confirmed_age_ms_plus_one, random);
     } else {
       const Result<PingRequest> request = Decode<PingRequest>(bytes, header);
       if (!request) {
@@ -127,40 +132,69 @@
     this->PublishMembers(now);
   }
 
-  /** Handles a document message (delta, pull or chunk) of the type in the
-   * header. */
-  void OnDocumentMessage(TimePoint now,
-                         const Endpoint& from,
-                         std::string_view bytes,
-                         const DatagramHeader& header,
-                         RandomEngine& random,
-                         Output& out) {
-    const std::vector<Endpoint> peers = this->PeerEndpoints();
-    bool decoded = false;
-    if (header.type == MessageType::kDocumentDelta) {
-      const Result<DocumentDelta> delta = Decode<DocumentDelta>(bytes, header);
-      decoded = delta.has_value();
-      if (decoded)
-        this->WithDocumentStore(delta.value().kind, [&](auto& store) {
-          store.OnDelta(from, delta.value(), peers, random, out);
-        });
-    } else if (header.type == MessageType::kDocumentPull) {
-      const Result<DocumentPull> pull = Decode<DocumentPull>(bytes, header);
-      decoded = pull.has_value();
-      if (decoded)
-        this->WithDocumentStore(pull.value().kind, [&](auto& store) {
-          store.OnPull(from, pull.value(), out);
-        });
-    } else {
-      const Result<DocumentChunk> chunk = Decode<DocumentChunk>(bytes, header);
-      decoded = chunk.has_value();
-      if (decoded)
-        this->WithDocumentStore(chunk.value().kind, [&](auto& store) {
-          store.OnChunk(now, from, chunk.value(), peers, random, out);
-        });
+  /** Handles a pushed delta of a document. */
+  void OnDocumentPush(TimePoint now,
+                      std::string_view bytes,
+                      const DatagramHeader& header,
+                      RandomEngine& random,
+                      Output& out) {
+    const Result<DocumentPush> push = Decode<DocumentPush>(bytes, header);
+    if (!push) {
+      ReportDrop(push.error().code, "peer", out);
+      return;
+    }
+    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
+    this->WithDocumentStore(push.value().kind, [&](auto& store) {
+      store.OnPush(now, push.value(), peers, random, out);
+    });
+    this->PublishDocuments(now);
+  }
+
+  /** @param request Message of a peer that fetches a document.
+   * @return The answer; no value if the request is invalid or there is nothing
+   * newer than the peer has. */
+  std::optional<FetchAnswer> AnswerFetch(std::string_view request) {
+    const Result<DatagramHeader> header = DecodeHeader(request);
+    if (!header)
+      return std::nullopt;
+    const Result<DocumentFetch> fetch =
+        Decode<DocumentFetch>(request, header.value());
+    if (!fetch)
+      return std::nullopt;
+    std::optional<FetchAnswer> answer;
+    this->WithDocumentStore(fetch.value().kind, [&](auto& store) {
+      answer = store.AnswerFetch(fetch.value().have);
+    });
+    return answer;
+  }
+
+  /**
+   * Handles the end of a fetch.
+   * @param kind PeerFetch::kind of the fetch.
+   * @param header The encoded DocumentAnswer; empty if the fetch failed.
+   * @param content Content that followed the header.
+   */
+  void OnFetchEnded(TimePoint now,
+                    uint8_t kind,
+                    std::string_view header,
+                    std::string_view content,
+                    RandomEngine& random,
+                    Output& out) {
+    const Result<DatagramHeader> decoded_header = DecodeHeader(header);
+    const Result<DocumentAnswer> answer =
+        decoded_header ? Decode<DocumentAnswer>(header, decoded_header.value())
+                       : Result<DocumentAnswer>(decoded_header.error());
+    if (!answer || answer.value().kind != kind) {
+      if (!header.empty())
+        ReportDrop(ResultCode::kGarbage, "peer", out);
+      this->WithDocumentStore(
+          kind, [&](auto& store) { store.OnFetchFailed(now, random); });
+      return;
     }
-    if (!decoded)
-      ReportDrop(ResultCode::kGarbage, "peer", out);
+    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
+    this->WithDocumentStore(kind, [&](auto& store) {
+      store.OnFetched(now, answer.value(), content, peers, random, out);
+    });
     this->PublishDocuments(now);
   }
 
@@ -232,7 +266,7 @@
   }
 
   /** @return Whether this balancer should watch the platform: it is one of the
-   * elected watchers, or its documents have not been confirmed for too long, as
+   * watchers of its data centre, or its documents have not been confirmed for too long, as
    * in a network partition without a watcher. */
   bool ShouldWatchPlatform(TimePoint now) const {
     const TimePoint confirmed = this->members.WithLock(
@@ -247,6 +281,7 @@
     size_t higher_ranked = 0;
     for (const MemberInfo& member : view->members.value->members) {
       if (member.State() == MemberState::kAlive &&
+          member.data_centre == this->data_centre &&
           RendezvousScore(0, member.id.vm.value) > own)
         ++higher_ranked;
     }
@@ -288,18 +323,28 @@
                       settings.data_centre);
   }
 
+  /** @param sender State of the member that the stamps are about; a relayed
+   * acknowledgement comes from another address.
+   * @return The balancer to fetch from. */
+  DocumentSource SourceOf(const Endpoint& from,
+                          const MemberInfo& sender) const {
+    return {sender.peer == Endpoint{} ? from : sender.peer,
+            sender.data_centre == this->data_centre};
+  }
+
   /** Handles the document stamps in a membership message. */
   void OnPeerVersions(TimePoint now,
-                      const Endpoint& from,
+                      const DocumentSource& source,
                       const DocumentVersions& versions,
                       uint32_t confirmed_age_ms_plus_one,
-                      Output& out) {
+                      RandomEngine& random) {
     this->ApplyPeerConfirmation(now, versions, confirmed_age_ms_plus_one);
     this->config.WithLock([&](auto& store) {
-      store.OnPeerStamp(now, from, versions.config, out);
+      store.OnPeerStamp(now, source, versions.config, random);
+    });
+    this->vms.WithLock([&](auto& store) {
+      store.OnPeerStamp(now, source, versions.vms, random);
     });
-    this->vms.WithLock(
-        [&](auto& store) { store.OnPeerStamp(now, from, versions.vms, out); });
   }
 
   /** Confirms this balancer's documents if a peer with the same documents has
@@ -332,12 +377,14 @@
       this->vms.WithLock(function);
   }
 
-  /** @return Addresses of all members that are alive or stopping. */
-  std::vector<Endpoint> PeerEndpoints() const {
+  /** @return Addresses of the members of this data centre that are alive or
+   * stopping. Every data centre has its own watcher of the platform. */
+  std::vector<Endpoint> LocalPeerEndpoints() const {
     std::vector<Endpoint> endpoints;
     for (const MemberInfo& member :
          this->blackboard.Read()->members.value->members) {
-      if (member.State() <= MemberState::kLeaving)
+      if (member.State() <= MemberState::kLeaving &&
+          member.data_centre == this->data_centre)
         endpoints.push_back(member.peer);
     }
     return endpoints;
@@ -496,6 +543,7 @@
   const Settings& settings;
   Blackboard<Mutex> blackboard;
   Guarded<MemberTable, Mutex> members;
+  const uint64_t data_centre;  ///< Hash of this balancer's data centre.
   Guarded<std::vector<Endpoint>, Mutex> seed_peers;
   Guarded<DocumentStore<ConfigDocument>, Mutex> config;
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
--- a/src/message/message_type.h
+++ b/src/message/message_type.h
@@ -81,12 +81,12 @@
   kAck = 65,
   kPingRequest = 66,
   kRelayedPacket = 67,
-  kDocumentDelta = 68,
-  kDocumentPull = 69,
-  kDocumentChunk = 70,
   kDispatchIntent = 71,
   kDispatchIntentReply = 72,
   kReachabilityUpdate = 73,
+  kDocumentPush = 74,
+  kDocumentFetch = 75,
+  kDocumentAnswer = 76,
   // Between the fabric and a balancer.
   kFabricPacket = 80,
 };
--- a/src/request/token_plane_base.h
+++ b/src/request/token_plane_base.h
@@ -156,13 +156,10 @@
       case MessageType::kAck:
       case MessageType::kPingRequest:
         this->control.OnMembershipMessage(now, from, bytes, header.value(),
-                                          out);
+                                          random, out);
         break;
-      case MessageType::kDocumentDelta:
-      case MessageType::kDocumentPull:
-      case MessageType::kDocumentChunk:
-        this->control.OnDocumentMessage(now, from, bytes, header.value(),
-                                        random, out);
+      case MessageType::kDocumentPush:
+        this->control.OnDocumentPush(now, bytes, header.value(), random, out);
         break;
       default:
         ReportDrop(ResultCode::kUnexpectedType, "peer", out);
@@ -181,6 +178,21 @@
     return this->control.OfferDocument(now, kind, text, random, out);
   }
 
+  /** @return The answer to a peer's fetch; see ControlPlane::AnswerFetch. */
+  std::optional<FetchAnswer> AnswerFetch(std::string_view request) {
+    return this->control.AnswerFetch(request);
+  }
+
+  /** Handles the end of a fetch; see ControlPlane::OnFetchEnded. */
+  void OnFetchEnded(TimePoint now,
+                    uint8_t kind,
+                    std::string_view header,
+                    std::string_view content,
+                    RandomEngine& random,
+                    Output& out) {
+    this->control.OnFetchEnded(now, kind, header, content, random, out);
+  }
+
   /** Sends due membership probes, handles expired request timers and activates
    * due planned changes. Must be called every few milliseconds, always from the
    * same thread. */
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -12,6 +12,7 @@
 #include "platform/packet_func.h"
 #include "shell/checker_base.h"
 #include "shell/clock_func.h"
+#include "shell/fetch_client_base.h"
 #include "shell/log_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
@@ -112,6 +113,18 @@
           self->ApplyOutput(checked_at, output);
         });
   }
+  for (const PeerFetch& fetch : output.common.fetches) {
+    StartFetch(
+        this->context, fetch,
+        [self = this->shared_from_this(), kind = fetch.kind](
+            const std::string& header, const std::string& content) {
+          const TimePoint fetched_at = ReadClock();
+          PacketOutput output;
+          self->balancer.OnFetchEnded(fetched_at, kind, header, content,
+                                      self->random, output);
+          self->ApplyOutput(fetched_at, output);
+        });
+  }
   output.Clear();
 }
 
@@ -240,6 +253,7 @@
   for (std::thread& thread : this->threads)
     thread.join();
   this->control.reset();
+  this->fetch_server.reset();
   this->page_servers.clear();
   LogLine(Topic::kProcess, Severity::kInfo, "event=stopped");
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -268,6 +282,12 @@
                      std::to_string(this->settings.control_port)};
   BOOST_OUTCOME_TRY(this->OpenPageServers());
   asio::io_context& context = this->workers.front()->Context();
+  this->fetch_server = std::make_shared<FetchServer>(
+      context, this->settings.documents.BytesPerSecond(),
+      [self](std::string_view request) {
+        return self->balancer.GetTokenPlane().AnswerFetch(request);
+      });
+  BOOST_OUTCOME_TRY(this->fetch_server->Listen(this->settings.peer));
   this->tick_timer = std::make_unique<asio::steady_timer>(context);
   this->stop_signals =
       std::make_unique<asio::signal_set>(context, SIGTERM, SIGINT);
@@ -426,6 +446,7 @@
   this->stop_watcher = true;
   this->stop_signals->cancel();
   this->reload_signal->cancel();
+  this->fetch_server->Close();
   for (const auto& worker : this->workers)
     worker->CloseSockets();
 }
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -15,6 +15,7 @@
 #include "balancer/balancer_base.h"
 #include "control/control_func.h"
 #include "document/settings_type.h"
+#include "shell/fetch_server_base.h"
 #include "shell/metrics_base.h"
 #include "shell/packet_lane_base.h"
 #include "shell/page_base.h"
@@ -153,6 +154,7 @@
   std::unique_ptr<asio::signal_set> reload_signal;  ///< SIGHUP.
   std::unique_ptr<ControlServer> control;  ///< Null without a control port.
   std::vector<std::unique_ptr<PageServer>> page_servers;
+  std::shared_ptr<FetchServer> fetch_server;  ///< Sends documents to peers.
   std::vector<std::thread> threads;  ///< Other workers and the store watcher.
   std::atomic<bool> stop_watcher = false;     ///< Ends the store watcher.
   std::atomic<bool> packets_started = false;  ///< Packets are being read.
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -16,6 +16,8 @@
                "Addresses that the balancer listens on."},
     SectionRow{"platform", false, true,
                "The platform's configuration service."},
+    SectionRow{"documents", false, false,
+               "Transfer of documents between balancers."},
     SectionRow{"log", false, false,
                "Lowest severity that is logged, by topic."},
     SectionRow{"requests", false, false, "Limits and retries of requests."},
@@ -73,9 +75,9 @@
            "",
            "Time within which a published change must be active on this "
            "balancer, in milliseconds."},
-    KeyRow{"platform", "watchers", ValueKind::kInteger, "3", 1, 1000, "",
-           "Number of balancers that watch the platform; they pass changes on "
-           "to the others."},
+    KeyRow{"platform", "watchers", ValueKind::kInteger, "1", 1, 1000, "",
+           "Number of balancers of each data centre that watch the platform; "
+           "they pass changes on to the others of their data centre."},
     KeyRow{
         "platform", "pause_ms", ValueKind::kInteger, "700", 0, 600000, "",
         "Pause after a read of changes, so that the next read returns several "
@@ -83,6 +85,12 @@
     KeyRow{"platform", "retry_ms", ValueKind::kInteger, "200", 10, 600000, "",
            "Pause after a failed read, in milliseconds; doubled after each "
            "further failure, up to a quarter of in_force_ms."},
+    KeyRow{"documents", "link_mbps", ValueKind::kDecimal, "0", 0, 1000000, "",
+           "Rate of this VM's network link, in megabits per second. 0: unknown, "
+           "and transfers of documents are not limited."},
+    KeyRow{"documents", "link_percent", ValueKind::kInteger, "25", 1, 100, "",
+           "Maximum share of the link that is used for sending documents to "
+           "other balancers, in percent."},
     KeyRow{"log", "routing", ValueKind::kChoice, "info", 0, 0, kSeverityChoices,
            "Routing decisions."},
     KeyRow{"log", "placement", ValueKind::kChoice, "info", 0, 0,
--- a/tests/fleet_fake.cc
+++ b/tests/fleet_fake.cc
@@ -19,6 +19,8 @@
 /** Virtual time that one call of Step takes. */
 constexpr Milliseconds kTimeStep{1};
 constexpr Milliseconds kBalancerTickInterval{5};
+/** Time after which a fetch from an unreachable balancer fails. */
+constexpr Milliseconds kFetchTimeout{1500};
 
 Endpoint BalancerEndpoint(int balancer, Channel lane) {
   return {kBalancerSubnet + static_cast<uint32_t>(balancer),
@@ -317,6 +319,12 @@
     this->in_flight.erase(this->in_flight.begin());
     this->Deliver(datagram);
   }
+  while (!this->fetch_ends.empty() &&
+         this->fetch_ends.begin()->first <= this->now) {
+    const FetchEnd end = std::move(this->fetch_ends.begin()->second);
+    this->fetch_ends.erase(this->fetch_ends.begin());
+    this->EndFetch(end);
+  }
   for (auto& [number, backend] : this->backends) {
     Output out;
     backend->Tick(this->now, out);
@@ -433,9 +441,51 @@
   }
   this->decisions.insert(this->decisions.end(), out.decisions.begin(),
                          out.decisions.end());
+  for (const PeerFetch& fetch : out.fetches)
+    this->RunFetch(base, fetch);
   out.Clear();
 }
 
+void FakeFleet::RunFetch(const Endpoint& base, const PeerFetch& fetch) {
+  const int balancer = static_cast<int>(base.ip - kBalancerSubnet);
+  const uint64_t incarnation = this->balancer_states.at(balancer).incarnation;
+  const auto asked = this->balancer_states.find(
+      static_cast<int>(fetch.peer.ip - kBalancerSubnet));
+  const bool reachable = asked != this->balancer_states.end() &&
+                         asked->second.node != nullptr &&
+                         !asked->second.paused &&
+                         !this->cut_links.contains(
+                             {VmOf(base), VmOf(fetch.peer)});
+  FetchEnd end{balancer, incarnation, fetch.kind, "", ""};
+  if (reachable) {
+    if (const auto answer = asked->second.node->AnswerFetch(fetch.request)) {
+      end.header = answer->header;
+      end.content = *answer->content;
+    }
+    this->peer_bytes +=
+        fetch.request.size() + end.header.size() + end.content.size();
+  }
+  const Microseconds round_trip =
+      2 * (this->options.delay + this->options.jitter);
+  this->fetch_ends.emplace(
+      this->now + (reachable ? round_trip : Microseconds(kFetchTimeout)),
+      std::move(end));
+}
+
+void FakeFleet::EndFetch(const FetchEnd& end) {
+  BalancerState& state = this->balancer_states.at(end.balancer);
+  if (state.node == nullptr || state.incarnation != end.incarnation)
+    return;
+  if (state.paused) {
+    this->fetch_ends.emplace(this->now + kTimeStep, end);
+    return;
+  }
+  Output out;
+  state.node->OnFetchEnded(this->now, end.kind, end.header, end.content,
+                           this->random, out);
+  this->SendOutput(BalancerEndpoint(end.balancer, Channel::kFabric), out);
+}
+
 void FakeFleet::SendCallerOutput() {
   for (const CallerDatagram& datagram : this->caller_out.datagrams) {
     ++this->sent_caller_packets;
--- a/tests/fleet_fake.h
+++ b/tests/fleet_fake.h
@@ -191,6 +191,15 @@
     std::string bytes;
   };
 
+  /** The result of a balancer's fetch; the header is empty if it failed. */
+  struct FetchEnd {
+    int balancer = 0;
+    uint64_t incarnation = 0;  ///< Incarnation that started the fetch.
+    uint8_t kind = 0;
+    std::string header;
+    std::string content;
+  };
+
   /** Creates the token plane and offers it the published documents. */
   void StartBalancer(int balancer);
   FlowToken TokenOf(FlowHandle flow);
@@ -206,6 +215,9 @@
    * channel.
    */
   void SendOutput(const Endpoint& base, Output& out);
+  /** Answers a balancer's fetch after one round trip, or lets it fail. */
+  void RunFetch(const Endpoint& base, const PeerFetch& fetch);
+  void EndFetch(const FetchEnd& end);
   /** Sends the datagrams and keeps the events of the caller. */
   void SendCallerOutput();
   /** Advances virtual time by 1 ms and delivers what is due. */
@@ -228,6 +240,8 @@
       last_accepted_at;  ///< When each backend server last accepted a run.
   std::multimap<TimePoint, InFlightDatagram>
       in_flight;  ///< Datagrams by time of delivery.
+  std::multimap<TimePoint, FetchEnd>
+      fetch_ends;  ///< Ends of running fetches by time.
   std::set<std::pair<uint32_t, uint32_t>>
       cut_links;  ///< Sender and receiver VM of links that drop datagrams.
   std::vector<int> spray_targets;  ///< Balancers that get callers' packets.
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -273,6 +273,9 @@
   FakeFleet fleet({});
   const FlowHandle flow = fleet.OpenFlow();
   const int owner = fleet.OwnerOf(flow);
+  // Every copy of the request waits at the paused owner; another balancer would
+  // take the flow over and have the request run in time.
+  fleet.SprayOver({owner});
   fleet.PauseBalancer(owner);
   const WorkOrder order = fleet.MakeOrder();
   const CallerEvent event =
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -8,6 +8,7 @@
   libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev
   libcxxopts-dev libcpputest-dev libmsgpack-cxx-dev libxxhash-dev
   libsodium-dev librapidcheck-dev libcurl4-openssl-dev libinih-dev
+  libzstd-dev
 )
 
 missing=()
