--- a/src/document/fetch_plan_base.h
+++ b/src/document/fetch_plan_base.h
@@ -21,7 +21,7 @@
 /** A balancer that documents can be fetched from. */
 struct DocumentSource {
   Endpoint peer;       ///< Its address for other balancers.
-  bool local = false;  ///< It is in this balancer's data centre.
+  bool local = false;  ///< It is in this balancer's document group.
 
   auto operator<=>(const DocumentSource&) const = default;
 };
@@ -31,10 +31,10 @@
  *
  * Answers the load of a whole fleet that is behind at once, after a restart or
  * while a release changes the list of VMs many times a second: one fetch at a
- * time, from a random balancer of the own data centre that has the newest
- * version, with a growing delay after a failure. Other data centres are asked
- * only if this balancer makes no progress, since links between data centres are
- * dear and each data centre has its own watcher of the platform.
+ * time, from a random balancer of the own document group that has the newest
+ * version, with a growing delay after a failure. Others are asked only if this
+ * balancer makes no progress, since links between data centres are dear and each
+ * group has its own watcher of the platform.
  */
 class FetchPlan {
  public:
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -50,8 +50,8 @@
 struct PlatformTiming {
   Milliseconds in_force_within{4000};  ///< Maximum time from a change at the
                                        ///< platform until it is active here.
-  size_t watchers = 1;  ///< Number of balancers of each data centre that watch
-                        ///< the platform.
+  /** Number of balancers that watch the platform; see DocumentGroup. */
+  size_t watchers = 2;
   /** Pause after changes were read, so that further changes arrive in one
    * answer; limited to a quarter of `in_force_within`. */
   Milliseconds read_pause{700};
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -14,6 +14,7 @@
 #include "decision/drop_func.h"
 #include "document/document_base.h"
 #include "member/blackboard_base.h"
+#include "member/document_group_func.h"
 #include "member/evidence_type.h"
 #include "member/member_base.h"
 #include "message/message_func.h"
@@ -64,7 +65,7 @@
                              std::string_view text,
                              RandomEngine& random,
                              Output& out) {
-    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
+    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
     Result<void> result = kind == DocumentKind::kConfig
                               ? this->config.WithLock([&](auto& store) {
                                   return store.Offer(now, text, peers, random,
@@ -143,7 +144,7 @@
       ReportDrop(push.error().code, "peer", out);
       return;
     }
-    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
+    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
     this->WithDocumentStore(push.value().kind, [&](auto& store) {
       store.OnPush(now, push.value(), peers, random, out);
     });
@@ -191,7 +192,7 @@
           kind, [&](auto& store) { store.OnFetchFailed(now, random); });
       return;
     }
-    const std::vector<Endpoint> peers = this->LocalPeerEndpoints();
+    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
     this->WithDocumentStore(kind, [&](auto& store) {
       store.OnFetched(now, answer.value(), content, peers, random, out);
     });
@@ -266,7 +267,7 @@
   }
 
   /** @return Whether this balancer should watch the platform: it is one of the
-   * watchers of its data centre, or its documents have not been confirmed for too long, as
+   * watchers of its document group, or its documents have not been confirmed for too long, as
    * in a network partition without a watcher. */
   bool ShouldWatchPlatform(TimePoint now) const {
     const TimePoint confirmed = this->members.WithLock(
@@ -278,14 +279,20 @@
       return true;
     const auto view = this->blackboard.Read();
     const uint64_t own = RendezvousScore(0, this->settings.id.value);
+    const DocumentGroup own_group = this->Group();
     size_t higher_ranked = 0;
     for (const MemberInfo& member : view->members.value->members) {
       if (member.State() == MemberState::kAlive &&
-          member.data_centre == this->data_centre &&
+          own_group.Contains(member.data_centre) &&
           RendezvousScore(0, member.id.vm.value) > own)
         ++higher_ranked;
     }
-    return higher_ranked < this->settings.platform_timing.watchers;
+    // A group of one data centre needs one watcher: the document stamps of other
+    // groups show when it is behind.
+    const bool has_other_groups = own_group.data_centres.size() == 1 &&
+                                  !this->IsOnlyDataCentre(*view);
+    return higher_ranked <
+           (has_other_groups ? 1 : this->settings.platform_timing.watchers);
   }
 
   /** @return Whether both documents are active, which serving requires. */
@@ -314,6 +321,12 @@
    * this delay, that peer counts as unreachable. */
   static constexpr Milliseconds kMaxWaitForNewerDocuments{10000};
 
+  /** The document group and the members that it was formed from. */
+  struct CachedGroup {
+    std::shared_ptr<const MemberView> members;
+    DocumentGroup group;
+  };
+
   static VmInstance SelfInstance(const Settings& settings) {
     return {settings.id, settings.incarnation};
   }
@@ -329,7 +342,7 @@
   DocumentSource SourceOf(const Endpoint& from,
                           const MemberInfo& sender) const {
     return {sender.peer == Endpoint{} ? from : sender.peer,
-            sender.data_centre == this->data_centre};
+            this->Group().Contains(sender.data_centre)};
   }
 
   /** Handles the document stamps in a membership message. */
@@ -377,14 +390,35 @@
       this->vms.WithLock(function);
   }
 
-  /** @return Addresses of the members of this data centre that are alive or
-   * stopping. Every data centre has its own watcher of the platform. */
-  std::vector<Endpoint> LocalPeerEndpoints() const {
+  /** @return Whether all known members are in this data centre. */
+  bool IsOnlyDataCentre(const BlackboardView& view) const {
+    return std::ranges::all_of(view.members.value->members,
+                               [this](const MemberInfo& member) {
+                                 return member.data_centre == this->data_centre;
+                               });
+  }
+
+  /** @return The balancers that this one shares documents with. */
+  DocumentGroup Group() const {
+    return this->group.WithLock([&](CachedGroup& cached) {
+      const auto members = this->blackboard.Read()->members.value;
+      if (cached.members != members) {
+        cached.members = members;
+        cached.group = FindDocumentGroup(*members, this->data_centre);
+      }
+      return cached.group;
+    });
+  }
+
+  /** @return Addresses of the members of this balancer's document group that are
+   * alive or stopping. */
+  std::vector<Endpoint> GroupPeerEndpoints() const {
+    const DocumentGroup own_group = this->Group();
     std::vector<Endpoint> endpoints;
     for (const MemberInfo& member :
          this->blackboard.Read()->members.value->members) {
       if (member.State() <= MemberState::kLeaving &&
-          member.data_centre == this->data_centre)
+          own_group.Contains(member.data_centre))
         endpoints.push_back(member.peer);
     }
     return endpoints;
@@ -545,6 +579,7 @@
   Guarded<MemberTable, Mutex> members;
   const uint64_t data_centre;  ///< Hash of this balancer's data centre.
   Guarded<std::vector<Endpoint>, Mutex> seed_peers;
+  mutable Guarded<CachedGroup, Mutex> group;
   Guarded<DocumentStore<ConfigDocument>, Mutex> config;
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
   /** View revision last written to the blackboard; guarded by the lock of
--- a/src/member/member_base.cc
+++ b/src/member/member_base.cc
@@ -28,9 +28,13 @@
 /** Maximum confirmation age that is sent; older confirmations are sent with
  * this age. */
 constexpr Milliseconds kMaxConfirmedAge{3600000};
-/** Maximum number of members that this member probes in each remote data
- * centre. */
-constexpr size_t kMaxProbedPerRemoteDataCentre = 8;
+/** Maximum number of members that this member probes, or announces its stop to,
+ * in each remote data centre. Bytes between data centres are dear, and all
+ * members of a data centre together reach every member elsewhere. */
+constexpr size_t kMaxContactsPerRemoteDataCentre = 2;
+/** Maximum number of members of the own data centre that a member announces its
+ * stop to; they pass it on by gossip. */
+constexpr size_t kMaxLocalAnnouncements = 16;
 
 /** @return Whether the member is dead or has left. Such members are excluded
  * from the regular probes. */
@@ -248,10 +252,30 @@
 void MemberTable::AnnounceState(MemberState state, Output& out) {
   ++this->self.state_version;
   this->self.state = static_cast<uint8_t>(state);
+  for (const VmId vm : this->Contacts(kMaxLocalAnnouncements))
+    this->SendPing(this->known_members[vm].info, this->next_sequence++, out);
+}
+
+std::vector<VmId> MemberTable::Contacts(size_t max_local) const {
+  // Contacts are chosen by rendezvous hashing, so that the members of one data
+  // centre contact different members elsewhere.
+  std::map<uint64_t, std::vector<std::pair<uint64_t, VmId>>> by_data_centre;
   for (const auto& [vm, known_member] : this->known_members) {
     if (!IsDeadOrLeft(known_member.info.State()))
-      this->SendPing(known_member.info, this->next_sequence++, out);
+      by_data_centre[known_member.info.data_centre].emplace_back(
+          RendezvousScore(this->self.id.vm.value, vm.value), vm);
+  }
+  std::vector<VmId> contacts;
+  for (auto& [data_centre, ranked] : by_data_centre) {
+    std::ranges::sort(ranked, std::greater<>());
+    const size_t limit = data_centre == this->self.data_centre
+                             ? max_local
+                             : kMaxContactsPerRemoteDataCentre;
+    ranked.resize(std::min(ranked.size(), limit));
+    for (const auto& [score, vm] : ranked)
+      contacts.push_back(vm);
   }
+  return contacts;
 }
 
 void MemberTable::MergeMessage(TimePoint now,
@@ -429,22 +453,7 @@
 
 VmId MemberTable::NextProbeTarget(RandomEngine& random) {
   if (this->probe_order.empty()) {
-    // In each remote data centre only a few members are probed. They are chosen
-    // by rendezvous hashing, so that the members of one data centre probe
-    // different remote members.
-    std::map<uint64_t, std::vector<std::pair<uint64_t, VmId>>> by_data_centre;
-    for (const auto& [vm, known_member] : this->known_members) {
-      if (!IsDeadOrLeft(known_member.info.State()))
-        by_data_centre[known_member.info.data_centre].emplace_back(
-            RendezvousScore(this->self.id.vm.value, vm.value), vm);
-    }
-    for (auto& [data_centre, ranked] : by_data_centre) {
-      std::ranges::sort(ranked, std::greater<>());
-      if (data_centre != this->self.data_centre)
-        ranked.resize(std::min(ranked.size(), kMaxProbedPerRemoteDataCentre));
-      for (const auto& [score, vm] : ranked)
-        this->probe_order.push_back(vm);
-    }
+    this->probe_order = this->Contacts(this->known_members.size());
     std::ranges::shuffle(this->probe_order, random);
   }
   while (!this->probe_order.empty()) {
--- a/src/member/member_base.h
+++ b/src/member/member_base.h
@@ -63,11 +63,10 @@
    * is not dead or stopped; false before the first message. */
   bool HasHeardFromAllMembers() const;
 
-  /** Announces to all members not dead or stopped that this member is stopping.
-   */
+  /** Announces to members not dead or stopped that this member is stopping. */
   void AnnounceLeaving(Output& out);
-  /** Announces to all members not dead or stopped that this member has stopped
-   * and has no unfinished requests. */
+  /** Announces to members not dead or stopped that this member has stopped and
+   * has no unfinished requests. */
   void AnnounceLeft(Output& out);
 
   /** Records that this member's documents were the newest ones at `at`; earlier
@@ -158,8 +157,12 @@
    */
   void ProbeDeadMember(RandomEngine& random, Output& out);
   void SendPing(const MemberInfo& to, uint64_t sequence, Output& out);
-  /** Changes the state of this member and pings all members that are not dead
-   * or stopped, so that they learn of it. */
+  /** @param max_local Maximum number of members of the own data centre.
+   * @return Members to contact that are not dead or stopped: those of the own
+   * data centre, and a few of each other one. */
+  std::vector<VmId> Contacts(size_t max_local) const;
+  /** Changes the state of this member and pings some members, which pass it on
+   * by gossip. */
   void AnnounceState(MemberState state, Output& out);
   /** @return Number of messages that carry one update; logarithmic in the size
    * of the fleet. */
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /** A watch call waits for changes for at most `in_force_within` /
- * kWatchWaitDivisor. The call fails if no answer arrives within a further
+ * kWatchWaitDivisor. The call fails if no byte arrives within a further
  * `in_force_within` / kMaxDelayDivisor; pauses and retry delays are limited to
  * the same time. A silent connection is therefore detected and a second call
  * answered within `in_force_within`, the time in which a change must be active.
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -75,9 +75,10 @@
            "",
            "Time within which a published change must be active on this "
            "balancer, in milliseconds."},
-    KeyRow{"platform", "watchers", ValueKind::kInteger, "1", 1, 1000, "",
-           "Number of balancers of each data centre that watch the platform; "
-           "they pass changes on to the others of their data centre."},
+    KeyRow{"platform", "watchers", ValueKind::kInteger, "2", 1, 1000, "",
+           "Number of balancers that watch the platform and pass changes on to "
+           "the others. A data centre with eight balancers or more has one of "
+           "its own instead, if there are other data centres."},
     KeyRow{
         "platform", "pause_ms", ValueKind::kInteger, "700", 0, 600000, "",
         "Pause after a read of changes, so that the next read returns several "
