--- a/src/decision/output_type.h
+++ b/src/decision/output_type.h
@@ -28,8 +28,8 @@
   bool operator==(const Datagram&) const = default;
 };
 
-/** A request to another balancer whose answer can be larger than a datagram. The
- * shell sends it over a connection of its own and reports how it ended. */
+/** A request to another balancer whose answer can be larger than a datagram.
+ * The shell sends it over a connection of its own and reports how it ended. */
 struct PeerFetch {
   uint8_t kind = 0;     ///< What is fetched; returned with the result.
   Endpoint peer;        ///< Balancer that is asked.
--- a/src/document/compress_func.cc
+++ b/src/document/compress_func.cc
@@ -30,8 +30,8 @@
                  "content has " + std::to_string(size) + " bytes, at most " +
                      std::to_string(kMaxContentBytes) + " are accepted"};
   std::string bytes(size, '\0');
-  const size_t written = ZSTD_decompress(
-      bytes.data(), bytes.size(), compressed.data(), compressed.size());
+  const size_t written = ZSTD_decompress(bytes.data(), bytes.size(),
+                                         compressed.data(), compressed.size());
   if (ZSTD_isError(written) != 0 || written != size)
     return Error{ResultCode::kGarbage, "content is a damaged zstd frame"};
   return bytes;
--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -111,8 +111,8 @@
     IniProblems problems;
     const IniDocument document =
         ReadIni(ToString(Traits::kKind), text, problems);
-    return this->AcceptIfNewer(now, Canonicalize(document), text, peers,
-                               random, out);
+    return this->AcceptIfNewer(now, Canonicalize(document), text, peers, random,
+                               out);
   }
 
   /** Compares the stamp in a membership message with the stamp of the active
@@ -140,8 +140,8 @@
                            random, out);
   }
 
-  /** @return The answer to a fetch of a peer; no value if there is nothing newer
-   * than the peer has. */
+  /** @return The answer to a fetch of a peer; no value if there is nothing
+   * newer than the peer has. */
   std::optional<FetchAnswer> AnswerFetch(const DocumentStamp& have) {
     if (this->current == nullptr || have >= this->stamp)
       return std::nullopt;
@@ -247,8 +247,7 @@
       return;
     }
     // Offer logs a refusal; the sender is not notified.
-    static_cast<void>(
-        this->Offer(now, whole_text.value(), peers, random, out));
+    static_cast<void>(this->Offer(now, whole_text.value(), peers, random, out));
   }
 
   /** Validates a document, and activates it and pushes its delta if it is
@@ -337,8 +336,8 @@
    * changes since then are not remembered. */
   std::optional<DocumentDelta> DeltaSince(const DocumentStamp& have) const {
     // The first change from no document to the first version is the whole text.
-    const auto first = std::ranges::find_if(
-        this->changes, [&](const Change& change) {
+    const auto first =
+        std::ranges::find_if(this->changes, [&](const Change& change) {
           return change.from != DocumentStamp{} &&
                  change.from.version <= have.version &&
                  have.version < change.to.version;
@@ -378,9 +377,9 @@
   DocumentStamp stamp;                   ///< Stamp of the active document.
   DocumentStamp newest_peer_stamp;       ///< Newest stamp reported by any peer.
   SectionTexts sections;                 ///< Sections of the active document.
-  std::string text;                  ///< Canonical text of the active document.
-  std::deque<Change> changes;        ///< Latest changes, oldest first.
-  FetchPlan plan;                    ///< When and where to fetch from.
+  std::string text;            ///< Canonical text of the active document.
+  std::deque<Change> changes;  ///< Latest changes, oldest first.
+  FetchPlan plan;              ///< When and where to fetch from.
   /** Contents of answers to fetches of the active version, by the version that
    * they start from, so that they are compressed once. */
   std::map<DocumentStamp, std::shared_ptr<const std::string>> packed;
--- a/src/document/fetch_plan_base.h
+++ b/src/document/fetch_plan_base.h
@@ -1,5 +1,5 @@
-/** @file fetch_plan_base.h Decides when and from which balancer a newer document
- * is fetched. */
+/** @file fetch_plan_base.h Decides when and from which balancer a newer
+ * document is fetched. */
 
 #ifndef CUMINVANE_DOCUMENT_FETCH_PLAN_BASE_H_
 #define CUMINVANE_DOCUMENT_FETCH_PLAN_BASE_H_
@@ -33,8 +33,8 @@
  * while a release changes the list of VMs many times a second: one fetch at a
  * time, from a random balancer of the own document group that has the newest
  * version, with a growing delay after a failure. Others are asked only if this
- * balancer makes no progress, since links between data centres are dear and each
- * group has its own watcher of the platform.
+ * balancer makes no progress, since links between data centres are dear and
+ * each group has its own watcher of the platform.
  */
 class FetchPlan {
  public:
@@ -46,9 +46,8 @@
                       RandomEngine& random) {
     if (this->sources.empty()) {
       // A push of this version is usually on its way.
-      this->next_attempt_at =
-          std::max(this->next_attempt_at,
-                   has_document ? now + kPushGrace : now);
+      this->next_attempt_at = std::max(this->next_attempt_at,
+                                       has_document ? now + kPushGrace : now);
       this->remote_from =
           now + Jitter(has_document ? kRemoteDelay : kStartRemoteDelay, random);
     }
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -96,8 +96,8 @@
 
 /** Limits of the documents that a balancer sends to others. */
 struct DocumentLimits {
-  /** Rate of this VM's network link in megabits per second; 0 means unknown, and
-   * transfers are not limited. */
+  /** Rate of this VM's network link in megabits per second; 0 means unknown,
+   * and transfers are not limited. */
   double link_mbps = 0;
   /** Maximum share of the link for documents, in percent. */
   int link_percent = 25;
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -66,15 +66,14 @@
                              RandomEngine& random,
                              Output& out) {
     const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
-    Result<void> result = kind == DocumentKind::kConfig
-                              ? this->config.WithLock([&](auto& store) {
-                                  return store.Offer(now, text, peers, random,
-                                                     out);
-                                })
-                              : this->vms.WithLock([&](auto& store) {
-                                  return store.Offer(now, text, peers, random,
-                                                     out);
-                                });
+    Result<void> result =
+        kind == DocumentKind::kConfig
+            ? this->config.WithLock([&](auto& store) {
+                return store.Offer(now, text, peers, random, out);
+              })
+            : this->vms.WithLock([&](auto& store) {
+                return store.Offer(now, text, peers, random, out);
+              });
     this->PublishDocuments(now);
     return result;
   }
@@ -261,8 +260,8 @@
   }
 
   /** @return Whether this balancer should watch the platform: it is one of the
-   * watchers of its document group, or its documents have not been confirmed for too long, as
-   * in a network partition without a watcher. */
+   * watchers of its document group, or its documents have not been confirmed
+   * for too long, as in a network partition without a watcher. */
   bool ShouldWatchPlatform(TimePoint now) const {
     const TimePoint confirmed = this->members.WithLock(
         [](const MemberTable& table) { return table.DocumentsConfirmedAt(); });
@@ -281,10 +280,10 @@
           RendezvousScore(0, member.id.vm.value) > own)
         ++higher_ranked;
     }
-    // A group of one data centre needs one watcher: the document stamps of other
-    // groups show when it is behind.
-    const bool has_other_groups = own_group.data_centres.size() == 1 &&
-                                  !this->IsOnlyDataCentre(*view);
+    // A group of one data centre needs one watcher: the document stamps of
+    // other groups show when it is behind.
+    const bool has_other_groups =
+        own_group.data_centres.size() == 1 && !this->IsOnlyDataCentre(*view);
     return higher_ranked <
            (has_other_groups ? 1 : this->settings.platform_timing.watchers);
   }
@@ -404,8 +403,8 @@
     });
   }
 
-  /** @return Addresses of the members of this balancer's document group that are
-   * alive or stopping. */
+  /** @return Addresses of the members of this balancer's document group that
+   * are alive or stopping. */
   std::vector<Endpoint> GroupPeerEndpoints() const {
     const DocumentGroup own_group = this->Group();
     std::vector<Endpoint> endpoints;
--- a/src/member/document_group_func.h
+++ b/src/member/document_group_func.h
@@ -1,4 +1,5 @@
-/** @file document_group_func.h Which balancers pass documents on to each other. */
+/** @file document_group_func.h Which balancers pass documents on to each other.
+ */
 
 #ifndef CUMINVANE_MEMBER_DOCUMENT_GROUP_FUNC_H_
 #define CUMINVANE_MEMBER_DOCUMENT_GROUP_FUNC_H_
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -236,10 +236,11 @@
   /** Moving average, by service, of waiting flows per slot of the backend
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
-  ResetGuard guard;          ///< See Guard.
+  ResetGuard guard;  ///< See Guard.
   /** Live balancers; null if none is known. */
   std::shared_ptr<const std::vector<Endpoint>> live_peers;
-  size_t control_index = 0;  ///< Index of the last control, modulo their number.
+  size_t control_index =
+      0;  ///< Index of the last control, modulo their number.
   TimePoint next_update_at;  ///< Until then Tick only detects stalls.
   TimePoint last_stall_at;   ///< When a stall was last detected; TimePoint{}
                              ///< if none.
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -41,9 +41,9 @@
 
 /** Result of a health check. */
 enum class HealthCheckResult : uint8_t {
-  kAnswered,  ///< A connection was accepted.
-  kRefused,   ///< The VM refused the connection.
-  kTimedOut,  ///< No attempt was answered in time, but the control was.
+  kAnswered,      ///< A connection was accepted.
+  kRefused,       ///< The VM refused the connection.
+  kTimedOut,      ///< No attempt was answered in time, but the control was.
   kInconclusive,  ///< Neither the backend server nor the control answered.
 };
 
--- a/src/packet/reset_guard_base.h
+++ b/src/packet/reset_guard_base.h
@@ -13,8 +13,8 @@
  * Tracks whether this balancer's documents are complete.
  *
  * A tag or route that the documents lack shows that a flow has ended only if
- * they would contain it. Otherwise the flow may be open at a backend server that
- * lives: its packets are dropped, but it is not reset.
+ * they would contain it. Otherwise the flow may be open at a backend server
+ * that lives: its packets are dropped, but it is not reset.
  */
 class ResetGuard {
  public:
--- a/src/shell/checker_base.cc
+++ b/src/shell/checker_base.cc
@@ -104,7 +104,7 @@
   asio::steady_timer attempt_timer;   ///< Starts the next connection attempt.
   std::deque<asio::ip::tcp::socket> sockets;  ///< Of all attempts.
   int started_attempts = 0;
-  bool control_answered = false;  ///< The control has answered an attempt.
+  bool control_answered = false;     ///< The control has answered an attempt.
   Microseconds attempt_interval{0};  ///< Time between connection attempts.
   bool finished = false;             ///< The callback has been called.
 };
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -13,6 +13,7 @@
 #include "shell/checker_base.h"
 #include "shell/clock_func.h"
 #include "shell/fetch_client_base.h"
+#include "shell/guard_func.h"
 #include "shell/log_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
@@ -106,28 +107,38 @@
     StartHealthCheck(
         this->context, check, now,
         [self = this->shared_from_this()](VmId vm, HealthCheckResult result) {
-          const TimePoint checked_at = ReadClock();
-          PacketOutput output;
-          self->balancer.OnHealthCheckResult(checked_at, vm, result,
-                                             self->random, output);
-          self->ApplyOutput(checked_at, output);
+          RunGuarded("health_check", [&] {
+            const TimePoint checked_at = ReadClock();
+            PacketOutput output;
+            self->balancer.OnHealthCheckResult(checked_at, vm, result,
+                                               self->random, output);
+            self->ApplyOutput(checked_at, output);
+          });
         });
   }
   for (const PeerFetch& fetch : output.common.fetches) {
-    StartFetch(
-        this->context, fetch,
-        [self = this->shared_from_this(), kind = fetch.kind](
-            const std::string& header, const std::string& content) {
-          const TimePoint fetched_at = ReadClock();
-          PacketOutput output;
-          self->balancer.OnFetchEnded(fetched_at, kind, header, content,
-                                      self->random, output);
-          self->ApplyOutput(fetched_at, output);
-        });
+    StartFetch(this->context, fetch,
+               [self = this->shared_from_this(), kind = fetch.kind](
+                   const std::string& header, const std::string& content) {
+                 RunGuarded("fetch", [&] {
+                   const TimePoint fetched_at = ReadClock();
+                   PacketOutput output;
+                   self->balancer.OnFetchEnded(fetched_at, kind, header,
+                                               content, self->random, output);
+                   self->ApplyOutput(fetched_at, output);
+                 });
+               });
   }
   output.Clear();
 }
 
+void Worker::Run() {
+  // An exception ends only the handler that threw it; run() then goes on with
+  // the next one.
+  while (!RunGuarded("event_loop", [&] { this->context.run(); })) {
+  }
+}
+
 void Worker::CloseSockets() {
   asio::post(this->context, [self = this->shared_from_this()] {
     asio::error_code ignored;
@@ -143,13 +154,15 @@
                              channel](const asio::error_code& failure) {
         if (failure)
           return;
-        self->ReadDatagrams(channel);
+        RunGuarded("datagrams", [&] { self->ReadDatagrams(channel); });
         self->WaitForDatagrams(channel);
       });
 }
 
 void Worker::ReadDatagrams(Channel channel) {
   Endpoint from;
+  // An earlier call may have ended with an exception.
+  this->out.Clear();
   for (int read = 0; read < kMaxDatagramsPerTurn; ++read) {
     const std::optional<std::string_view> bytes =
         Receive(this->SocketOf(channel), this->buffer, from);
@@ -180,12 +193,13 @@
       [self = this->shared_from_this()](const asio::error_code& failure) {
         if (failure)
           return;
-        self->ReadPackets();
+        RunGuarded("packets", [&] { self->ReadPackets(); });
         self->WaitForPackets();
       });
 }
 
 void Worker::ReadPackets() {
+  this->out.Clear();
   const int socket = this->packet_socket.native_handle();
   for (int batch = 0; batch < kMaxBatchesPerTurn; ++batch) {
     const size_t count = this->packet_lane.ReadBatch(socket);
@@ -240,7 +254,7 @@
   BOOST_OUTCOME_TRY(this->Open());
   for (size_t index = 1; index < this->workers.size(); ++index)
     this->threads.emplace_back(
-        [worker = this->workers[index]] { worker->Context().run(); });
+        [worker = this->workers[index]] { worker->Run(); });
   this->threads.emplace_back([this] { this->RunWatcher(); });
   LogLine(Topic::kProcess, Severity::kInfo,
           "event=started vm=" + ToString(this->settings.id) +
@@ -249,7 +263,7 @@
               " packets=" + ToString(this->settings.packets) +
               " peer=" + ToString(this->settings.peer) +
               " platform=" + ToString(this->settings.platform));
-  this->workers.front()->Context().run();
+  this->workers.front()->Run();
   for (std::thread& thread : this->threads)
     thread.join();
   this->control.reset();
@@ -350,8 +364,11 @@
 void Daemon::OnTick() {
   Worker& worker = *this->workers.front();
   const TimePoint now = ReadClock();
-  this->balancer.Tick(now, worker.Random(), this->tick_out);
-  worker.ApplyOutput(now, this->tick_out);
+  RunGuarded("tick", [&] {
+    this->balancer.Tick(now, worker.Random(), this->tick_out);
+    worker.ApplyOutput(now, this->tick_out);
+  });
+  this->tick_out.Clear();
   if (now >= this->next_settings_check) {
     this->next_settings_check = now + kSettingsPollInterval;
     this->Reload("file_changed");
@@ -484,9 +501,12 @@
 
 ControlReply Daemon::HandleControlCall(const std::string& method,
                                        const std::string& params) {
-  if (method == "status")
-    return {true, this->StatusJson()};
-  return this->ChangeLogLevel(params);
+  ControlReply reply{false, "unexpected error, see the log"};
+  RunGuarded("control", [&] {
+    reply = method == "status" ? ControlReply{true, this->StatusJson()}
+                               : this->ChangeLogLevel(params);
+  });
+  return reply;
 }
 
 std::string Daemon::StatusJson() {
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -61,6 +61,9 @@
    */
   void ApplyOutput(TimePoint now, PacketOutput& out);
 
+  /** Runs the event loop until nothing is left to wait for. */
+  void Run();
+
   /** Closes the sockets in the worker's thread, which ends the pending reads.
    */
   void CloseSockets();
--- a/src/shell/fetch_client_base.cc
+++ b/src/shell/fetch_client_base.cc
@@ -80,8 +80,7 @@
     }
     this->ExpectProgress();
     this->socket.async_read_some(
-        asio::buffer(this->buffer.data(),
-                     std::min(bytes, this->buffer.size())),
+        asio::buffer(this->buffer.data(), std::min(bytes, this->buffer.size())),
         [self = this->shared_from_this(), &target, bytes](
             const asio::error_code& failure, size_t read) {
           if (failure) {
--- a/src/shell/fetch_client_base.h
+++ b/src/shell/fetch_client_base.h
@@ -1,5 +1,5 @@
-/** @file fetch_client_base.h Fetches a document from another balancer over a TCP
- * connection. */
+/** @file fetch_client_base.h Fetches a document from another balancer over a
+ * TCP connection. */
 
 #ifndef CUMINVANE_SHELL_FETCH_CLIENT_BASE_H_
 #define CUMINVANE_SHELL_FETCH_CLIENT_BASE_H_
--- a/src/shell/fetch_server_base.cc
+++ b/src/shell/fetch_server_base.cc
@@ -84,8 +84,7 @@
   }
 
   void SendPiece() {
-    const size_t bytes =
-        std::min(kPieceBytes, this->bytes.size() - this->sent);
+    const size_t bytes = std::min(kPieceBytes, this->bytes.size() - this->sent);
     if (bytes == 0) {
       this->Close();
       return;
@@ -94,12 +93,11 @@
     this->progress_timer.cancel();
     this->pace_timer.expires_after(this->server->pacer.Reserve(bytes, now) -
                                    now);
-    this->pace_timer.async_wait(
-        [self = this->shared_from_this(),
-         bytes](const asio::error_code& failure) {
-          if (!failure)
-            self->WritePiece(bytes);
-        });
+    this->pace_timer.async_wait([self = this->shared_from_this(),
+                                 bytes](const asio::error_code& failure) {
+      if (!failure)
+        self->WritePiece(bytes);
+    });
   }
 
   void WritePiece(size_t bytes) {
@@ -138,8 +136,8 @@
   asio::steady_timer pace_timer;  ///< Delays the next piece.
   FrameLength length{};           ///< Length of the request.
   std::string request;
-  std::string bytes;  ///< Both frames of the answer.
-  size_t sent = 0;    ///< Number of bytes that have been sent.
+  std::string bytes;          ///< Both frames of the answer.
+  size_t sent = 0;            ///< Number of bytes that have been sent.
   bool is_answering = false;  ///< Counted in FetchServer::running_answers.
 };
 
--- a/src/shell/page_base.cc
+++ b/src/shell/page_base.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "shell/guard_func.h"
 #include "shell/http_func.h"
 #include "shell/socket_base.h"
 
@@ -47,7 +48,11 @@
                            const char* /*upload*/,
                            size_t* /*upload_size*/,
                            void** /*connection_state*/) {
-    const HttpPage page = static_cast<MhdPageServer*>(user)->handler(url);
+    HttpPage page;
+    if (!RunGuarded("page", [&] {
+          page = static_cast<MhdPageServer*>(user)->handler(url);
+        }))
+      page = {true, false, ""};
     const unsigned status = !page.found      ? MHD_HTTP_NOT_FOUND
                             : page.available ? MHD_HTTP_OK
                                              : MHD_HTTP_SERVICE_UNAVAILABLE;
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "shell/clock_func.h"
+#include "shell/guard_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
@@ -43,10 +44,13 @@
 
 void StoreWatcher::Run() {
   while (!this->stop) {
-    if (this->hooks.should_watch())
-      this->RunOnce();
-    else
+    if (!this->hooks.should_watch()) {
       this->Sleep(kIdlePollInterval);
+    } else if (!RunGuarded("watcher", [this] { this->RunOnce(); })) {
+      // The replica may be damaged, so everything is read again.
+      this->items_complete = false;
+      this->Sleep(this->retry_delay);
+    }
   }
 }
 
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -86,9 +86,10 @@
     KeyRow{"platform", "retry_ms", ValueKind::kInteger, "200", 10, 600000, "",
            "Pause after a failed read, in milliseconds; doubled after each "
            "further failure, up to a quarter of in_force_ms."},
-    KeyRow{"documents", "link_mbps", ValueKind::kDecimal, "0", 0, 1000000, "",
-           "Rate of this VM's network link, in megabits per second. 0: unknown, "
-           "and transfers of documents are not limited."},
+    KeyRow{
+        "documents", "link_mbps", ValueKind::kDecimal, "0", 0, 1000000, "",
+        "Rate of this VM's network link, in megabits per second. 0: unknown, "
+        "and transfers of documents are not limited."},
     KeyRow{"documents", "link_percent", ValueKind::kInteger, "25", 1, 100, "",
            "Maximum share of the link that is used for sending documents to "
            "other balancers, in percent."},
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -12,8 +12,8 @@
 
 constexpr uint32_t kLoopback = 0x7f000001;
 
-/** A listener whose queue of new connections is full, so that it does not answer
- * further ones. */
+/** A listener whose queue of new connections is full, so that it does not
+ * answer further ones. */
 struct SilentListener {
   explicit SilentListener(asio::io_context& context) : acceptor(context) {
     this->acceptor.open(asio::ip::tcp::v4());
@@ -48,11 +48,10 @@
     check.attempts = 3;
     check.due = now + Milliseconds(150);
     bool done = false;
-    StartHealthCheck(context, check, now,
-                     [&](VmId, HealthCheckResult found) {
-                       result = found;
-                       done = true;
-                     });
+    StartHealthCheck(context, check, now, [&](VmId, HealthCheckResult found) {
+      result = found;
+      done = true;
+    });
     while (!done)
       context.run_one();
   }
--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -56,8 +56,7 @@
   }
 
   void Push(Store & store, const std::string& bytes) {
-    const auto push =
-        Decode<DocumentPush>(bytes, DecodeHeader(bytes).value());
+    const auto push = Decode<DocumentPush>(bytes, DecodeHeader(bytes).value());
     CHECK(push.has_value());
     store.OnPush(now, push.value(), {}, random, out);
   }
@@ -169,8 +168,9 @@
   for (size_t size = 0; size < content.size(); ++size)
     second.OnFetched(now, header, content.substr(0, size), {}, random, out);
   CHECK(second.Current() == nullptr);
-  second.OnFetched(now, header, Compress(std::string(kMaxContentBytes + 1, 'x')),
-                   {}, random, out);
+  second.OnFetched(now, header,
+                   Compress(std::string(kMaxContentBytes + 1, 'x')), {}, random,
+                   out);
   CHECK(second.Current() == nullptr);
   CHECK_CODE(ResultCode::kGarbage, Decompress("no frame").error().code);
 }
@@ -180,8 +180,7 @@
   TimePoint now = TimePoint(Seconds(10));
   FetchPlan plan;
 
-  void ReportNewer(const DocumentSource& source,
-                   uint64_t version,
+  void ReportNewer(const DocumentSource& source, uint64_t version,
                    bool has_document) {
     plan.OnNewerVersion(source, StampOf(version), has_document, now, random);
   }
--- a/tests/document_test.cc
+++ b/tests/document_test.cc
@@ -226,23 +226,29 @@
 
 /** An older version that arrives late must not replace a newer one. */
 TEST(DocumentStores, HighestVersionStaysActive) {
-  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out).has_value());
+  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out)
+            .has_value());
   CHECK_CODE(ResultCode::kStaleDocument,
-             first.Offer(TimePoint{}, ConfigOfVersion(4), {}, random, out).error().code);
+             first.Offer(TimePoint{}, ConfigOfVersion(4), {}, random, out)
+                 .error()
+                 .code);
   LONGS_EQUAL(5, first.Stamp().version.value);
-  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(6), {}, random, out).has_value());
+  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(6), {}, random, out)
+            .has_value());
   LONGS_EQUAL(6, first.Stamp().version.value);
 }
 
 /** The valid parts of an invalid document must not become active. */
 TEST(DocumentStores, InvalidDocumentIsRejectedAsAWhole) {
-  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out).has_value());
-  CHECK_CODE(ResultCode::kInvalidDocument,
-             first
-                 .Offer(TimePoint{}, ConfigOfVersion(6, "[class late]\nrank = 1\n"), {},
-                        random, out)
-                 .error()
-                 .code);
+  CHECK(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out)
+            .has_value());
+  CHECK_CODE(
+      ResultCode::kInvalidDocument,
+      first
+          .Offer(TimePoint{}, ConfigOfVersion(6, "[class late]\nrank = 1\n"),
+                 {}, random, out)
+          .error()
+          .code);
   LONGS_EQUAL(5, first.Current()->version.value);
 }
 
@@ -267,8 +273,10 @@
 }
 
 TEST(DocumentStores, DeltaBringsPeerUpToDate) {
-  static_cast<void>(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
-  static_cast<void>(second.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
+  static_cast<void>(
+      first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
+  static_cast<void>(
+      second.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
   out.Clear();
   static_cast<void>(first.Offer(
       TimePoint{},
@@ -287,10 +295,13 @@
 /** The result of an altered delta differs from the document that its sender
  * has. */
 TEST(DocumentStores, AlteredDeltaIsRejected) {
-  static_cast<void>(first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
-  static_cast<void>(second.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
+  static_cast<void>(
+      first.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
+  static_cast<void>(
+      second.Offer(TimePoint{}, ConfigOfVersion(5), {}, random, out));
   out.Clear();
-  static_cast<void>(first.Offer(TimePoint{}, ConfigOfVersion(6), peers, random, out));
+  static_cast<void>(
+      first.Offer(TimePoint{}, ConfigOfVersion(6), peers, random, out));
   DeliverFirstDatagram<DocumentPush>([&](DocumentPush push) {
     DocumentDelta delta = UnpackDelta(AsStringView(push.packed_delta)).value();
     delta.changed.front().body += "x = y\n";
@@ -300,4 +311,3 @@
   });
   LONGS_EQUAL(5, second.Stamp().version.value);
 }
-
--- a/tests/fleet_fake.cc
+++ b/tests/fleet_fake.cc
@@ -451,11 +451,10 @@
   const uint64_t incarnation = this->balancer_states.at(balancer).incarnation;
   const auto asked = this->balancer_states.find(
       static_cast<int>(fetch.peer.ip - kBalancerSubnet));
-  const bool reachable = asked != this->balancer_states.end() &&
-                         asked->second.node != nullptr &&
-                         !asked->second.paused &&
-                         !this->cut_links.contains(
-                             {VmOf(base), VmOf(fetch.peer)});
+  const bool reachable =
+      asked != this->balancer_states.end() && asked->second.node != nullptr &&
+      !asked->second.paused &&
+      !this->cut_links.contains({VmOf(base), VmOf(fetch.peer)});
   FetchEnd end{balancer, incarnation, fetch.kind, "", ""};
   if (reachable) {
     if (const auto answer = asked->second.node->AnswerFetch(fetch.request)) {
--- a/tests/measure_main.cc
+++ b/tests/measure_main.cc
@@ -352,7 +352,8 @@
   text.replace(text.find("version = 1"), 11, "version = 2");
   out.Clear();
   const auto started_at = std::chrono::steady_clock::now();
-  const bool accepted = store.Offer(TimePoint{}, text, {{1, 1}}, random, out).has_value();
+  const bool accepted =
+      store.Offer(TimePoint{}, text, {{1, 1}}, random, out).has_value();
   const double elapsed_s = std::chrono::duration<double>(
                                std::chrono::steady_clock::now() - started_at)
                                .count();
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -107,8 +107,9 @@
         PacketActionType::kForward);
   // New flows go elsewhere all the same.
   for (uint32_t caller = 10; caller < 20; ++caller)
-    CHECK(plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(caller))
-              .backend != opened.backend);
+    CHECK(
+        plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(caller)).backend !=
+        opened.backend);
 }
 
 /** A backend server that is really lost is found as soon as the link works. */
@@ -125,8 +126,8 @@
   LONGS_EQUAL(1, plane.out.resets.size());
 }
 
-/** A backend server counts as lost; then this balancer's own link fails, so that
- * it can't know whether the backend server is back. */
+/** A backend server counts as lost; then this balancer's own link fails, so
+ * that it can't know whether the backend server is back. */
 TEST(ResetGuard, LossIsForgottenWhileTheOwnLinkIsSilent) {
   FakePacketPlane plane;
   plane.OfferVmList({{1}, {2}});
