--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -1,10 +1,6 @@
 /** @file fetch_test.cc Fetches of documents between balancers over real sockets
  * on this machine, and handlers that fail unexpectedly. */
 
-#include <CppUTest/TestHarness.h>
-
-#include <CppUTest/MemoryLeakWarningPlugin.h>
-
 #include <stdexcept>
 
 #include "shell/clock_func.h"
@@ -14,6 +10,9 @@
 #include "shell/guard_func.h"
 #include "tests/test_text.h"
 
+// Needs the test harness that test_text.h includes.
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
 using namespace cuminvane;
 
 namespace {
