Tests with real sockets are a program of their own

Cause: the leak detector of the unit tests takes memory that the socket library keeps between tests for an error. The other tests keep the detector.

--- a/tests/fetch_test.cc
+++ b/tests/socket/fetch_test.cc
@@ -10,9 +10,6 @@
 #include "shell/guard_func.h"
 #include "tests/test_text.h"
 
-// Needs the test harness that test_text.h includes.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
-
 using namespace cuminvane;
 
 namespace {
@@ -69,15 +66,6 @@
 }  // namespace
 
 TEST_GROUP(Fetch) {
-  // The leak detector does not see memory that the socket library allocates in
-  // one test and reuses in another.
-  void setup() override {
-    MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
-  }
-  void teardown() override {
-    MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
-  }
-
   std::string header;
   std::string content;
   int callbacks = 0;
@@ -187,16 +175,7 @@
   server->Close();
 }
 
-TEST_GROUP(Guard){
-    // The logger is created with the first line and lives until the end.
-    void setup()
-        override{MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
-}
-void teardown() override {
-  MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
-}
-}
-;
+TEST_GROUP(Guard){};
 
 /** One malformed message must not end the process. */
 TEST(Guard, ExceptionEndsOnlyTheHandlerThatThrewIt) {
--- /dev/null
+++ b/tests/socket/main.cc
@@ -0,0 +1,11 @@
+/** @file main.cc Runs the tests that use real sockets on this machine. */
+
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int argc, char** argv) {
+  // The socket library keeps memory of one test for the next one, which the
+  // leak detector takes for an error. The sanitizers check these tests.
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  return CommandLineTestRunner::RunAllTests(argc, argv);
+}
