--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -87,8 +87,8 @@
                     std::string_view content,
                     RandomEngine& random,
                     PacketOutput& out) {
-    this->token_plane.OnFetchEnded(now, kind, header, content, random,
-                                   out.common);
+    this->token_plane.Control().OnFetchEnded(now, kind, header, content, random,
+                                             out.common);
     this->SyncPacketPlane(now);
   }
 
@@ -115,7 +115,7 @@
       this->packet_plane.Sync(*view, now);
     }
     this->ReadMembers(*view);
-    SelfEvidence evidence = this->token_plane.ReadSelfEvidence(now);
+    SelfEvidence evidence = this->token_plane.Control().ReadSelfEvidence(now);
     evidence.live_peers = this->live_peers;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 
-#include "document/vmlist_func.h"
 #include "packet/packet_func.h"
 
 namespace cuminvane::emulate {
@@ -24,9 +23,8 @@
 constexpr Milliseconds kLeadTime{3000};
 /** Time after the load in which requests in progress can end. */
 constexpr Milliseconds kCompletionTime{5000};
-/** Base IPv4 addresses, to which the id of the VM is added. */
+/** Base IPv4 address, to which the id of the VM is added. */
 constexpr uint32_t kBalancerNet = 0x0a000000;
-constexpr uint32_t kBackendNet = 0x0a800000;
 /** Base IPv4 address of callers; each data centre has its own /16 network. */
 constexpr uint32_t kCallerNet = 0x64400000;
 /** Bit position of the data centre's number in the id of a balancer's VM. */
@@ -35,14 +33,9 @@
 constexpr uint16_t kPeerPort = 1;
 /** Port of balancers for packets of opaque flows. */
 constexpr uint16_t kPacketPort = 2;
-constexpr uint16_t kBackendPort = 80;
 /** The ids of backend servers' VMs are greater than this number. */
 constexpr uint64_t kFirstBackendNumber = 1000;
 
-Endpoint BackendAddress(VmId vm) {
-  return {kBackendNet + static_cast<uint32_t>(vm.value), kBackendPort};
-}
-
 }  // namespace
 
 World::World(const Experiment& experiment, const Variant& variant)
@@ -143,89 +136,6 @@
   this->OfferDocuments(node);
 }
 
-void World::OfferDocuments(BalancerNode& node) {
-  if (node.balancer == nullptr || node.paused)
-    return;
-  PacketOutput out;
-  // A balancer refuses a document that is already active. Offering it again
-  // does no harm.
-  static_cast<void>(node.balancer->OfferDocument(
-      this->now, DocumentKind::kConfig, this->ConfigText(), this->random, out));
-  static_cast<void>(node.balancer->OfferDocument(
-      this->now, DocumentKind::kVmList, this->ListText(), this->random, out));
-  node.balancer->GetTokenPlane().ConfirmDocuments(this->now);
-  this->SendOutput(node, out);
-}
-
-void World::ConfirmDocuments(BalancerNode& node) const {
-  const auto view = node.balancer->GetTokenPlane().ReadBlackboard();
-  if (view->config.value->version.value == this->config_version &&
-      view->vms.value->version.value == this->list_version)
-    node.balancer->GetTokenPlane().ConfirmDocuments(this->now);
-}
-
-void World::PublishList() {
-  ++this->list_version;
-  this->NotifyBalancers();
-}
-
-void World::PublishRoute(size_t kind, const std::string& service) {
-  ++this->config_version;
-  this->routes[kind].push_back({this->config_version, this->now, service});
-  this->NotifyBalancers();
-}
-
-void World::NotifyBalancers() {
-  for (BalancerNode& node : this->nodes) {
-    const Milliseconds delay(DrawIndex(
-        this->random,
-        static_cast<size_t>(this->experiment.max_notification_delay.count()) +
-            1));
-    this->ScheduleAt(this->now + delay,
-                     [this, &node] { this->OfferDocuments(node); });
-  }
-}
-
-std::string World::ConfigText() const {
-  std::string text =
-      "[document]\nversion = " + std::to_string(this->config_version) +
-      "\n[flows]\nidle_ms = 12000\n";
-  for (const ServicePlan& service : this->experiment.services)
-    text += "[service " + service.name + "]\n";
-  for (size_t kind = 0; kind < this->kinds.size(); ++kind) {
-    const RequestPlan& plan = this->experiment.request_plans[kind];
-    const std::string& service = this->routes[kind].back().service;
-    if (service.empty())
-      continue;
-    text += "[class " + plan.kind.name + "]\nservice = " + service +
-            "\naddresses = " + ToString(plan.kind.address) +
-            "\nidempotent = " + (plan.kind.idempotent ? "yes" : "no") +
-            "\nrank = 1\nanswered_within_ms = " +
-            std::to_string(plan.kind.target.count()) + "\n";
-  }
-  return text;
-}
-
-std::string World::ListText() const {
-  std::string text =
-      "[list]\nversion = " + std::to_string(this->list_version) + "\n";
-  for (const auto& [vm, server] : this->servers) {
-    if (!server.listed)
-      continue;
-    text +=
-        "[vm " + ToString(vm) +
-        "]\nincarnation = " + std::to_string(server.incarnation) +
-        "\nrole = backend\nservice = " + server.options.service +
-        "\ndata_centre = " + server.options.data_centre +
-        "\naddress = " + ToString(BackendAddress(vm)) +
-        "\nslots = " + std::to_string(server.options.slots) +
-        "\ncold_ms = " + std::to_string(server.options.warm_up.count()) +
-        "\nstate = " + (server.draining_since == kNever ? "live" : "leaving") +
-        "\n";
-  }
-  return text;
-}
-
 void World::ScheduleAt(TimePoint when, Event event) {
   this->events.emplace(when, std::move(event));
 }
@@ -447,9 +357,7 @@
 
 void World::SendOutput(BalancerNode& node, PacketOutput& out) {
   for (Datagram& datagram : out.common.datagrams) {
-    (this->now < this->load_started_at ? this->result.start_bytes
-                                       : this->result.peer_bytes) +=
-        datagram.bytes.size();
+    this->CountPeerBytes(datagram.bytes.size());
     const auto target =
         std::ranges::find_if(this->nodes, [&](const BalancerNode& other) {
           return other.settings != nullptr &&
@@ -466,6 +374,8 @@
     this->Send(this->OneWayDelay(node.centre, target->centre),
                std::move(delivery));
   }
+  for (const PeerFetch& fetch : out.common.fetches)
+    this->RunFetch(node, fetch);
   for (const FlowReset& reset : out.resets)
     this->SendReset(node, reset);
   for (const HealthCheck& check : out.checks)
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -177,6 +177,11 @@
   /** Sends what a balancer has put out, starts its health checks, and clears
    * `out`. */
   void SendOutput(BalancerNode& node, PacketOutput& out);
+  /** Answers a balancer's fetch of a document after a delay, or lets it fail.
+   */
+  void RunFetch(BalancerNode& node, const PeerFetch& fetch);
+  /** Counts bytes that balancers sent to each other. */
+  void CountPeerBytes(size_t bytes);
   /** Determines the result of a health check and reports it when it is due. */
   void RunHealthCheck(BalancerNode& node, const HealthCheck& check);
   /** Sends a reset to a caller. Checks that the reset doesn't end a flow which
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -10,25 +10,24 @@
 #include <utility>
 #include <vector>
 
-#include "base/rendezvous_func.h"
 #include "decision/drop_func.h"
 #include "document/document_base.h"
 #include "member/blackboard_base.h"
 #include "member/document_group_func.h"
+#include "member/document_peers_base.h"
 #include "member/evidence_type.h"
+#include "member/issue_key_func.h"
 #include "member/member_base.h"
+#include "member/startup_func.h"
 #include "message/message_func.h"
 
 namespace cuminvane {
 
-/**
- * Maintains the blackboard: documents, members and the state of this balancer.
+/** Maintains the blackboard: documents, members and the state of this balancer.
  * Thread-safe, except that Tick must always be called by the same thread.
  * Membership and each document have their own lock; a change is written to the
  * blackboard while that lock is held, so that an older state never overwrites a
- * newer one.
- * @tparam Mutex Type of all locks.
- */
+ * newer one. @tparam Mutex Type of all locks. */
 template <Lockable Mutex>
 class ControlPlane {
  public:
@@ -36,9 +35,13 @@
    * object. */
   explicit ControlPlane(const Settings& settings)
       : settings(settings),
-        members(MakeSelf(settings), settings.membership),
+        members(MakeMember(SelfInstance(settings),
+                           settings.peer,
+                           settings.data_centre),
+                settings.membership),
         data_centre(DataCentreIdOf(settings.data_centre)),
-        seed_peers(settings.seed_peers) {
+        seed_peers(settings.seed_peers),
+        peers(this->data_centre) {
     SelfState self;
     self.id = SelfInstance(settings);
     this->blackboard.Write(&BlackboardView::self,
@@ -65,7 +68,7 @@
                              std::string_view text,
                              RandomEngine& random,
                              Output& out) {
-    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
+    const std::vector<Endpoint> peers = this->DocumentPeerEndpoints();
     Result<void> result =
         kind == DocumentKind::kConfig
             ? this->config.WithLock([&](auto& store) {
@@ -143,7 +146,7 @@
       ReportDrop(push.error().code, "peer", out);
       return;
     }
-    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
+    const std::vector<Endpoint> peers = this->DocumentPeerEndpoints();
     this->WithDocumentStore(push.value().kind, [&](auto& store) {
       store.OnPush(now, push.value(), peers, random, out);
     });
@@ -154,11 +157,7 @@
    * @return The answer; no value if the request is invalid or there is nothing
    * newer than the peer has. */
   std::optional<FetchAnswer> AnswerFetch(std::string_view request) {
-    const Result<DatagramHeader> header = DecodeHeader(request);
-    if (!header)
-      return std::nullopt;
-    const Result<DocumentFetch> fetch =
-        Decode<DocumentFetch>(request, header.value());
+    const auto fetch = DecodeWhole<DocumentFetch>(request);
     if (!fetch)
       return std::nullopt;
     std::optional<FetchAnswer> answer;
@@ -180,10 +179,7 @@
                     std::string_view content,
                     RandomEngine& random,
                     Output& out) {
-    const Result<DatagramHeader> decoded_header = DecodeHeader(header);
-    const Result<DocumentAnswer> answer =
-        decoded_header ? Decode<DocumentAnswer>(header, decoded_header.value())
-                       : Result<DocumentAnswer>(decoded_header.error());
+    const auto answer = DecodeWhole<DocumentAnswer>(header);
     if (!answer || answer.value().kind != kind) {
       if (!header.empty())
         ReportDrop(ResultCode::kGarbage, "peer", out);
@@ -191,7 +187,7 @@
           kind, [&](auto& store) { store.OnFetchFailed(now, random); });
       return;
     }
-    const std::vector<Endpoint> peers = this->GroupPeerEndpoints();
+    const std::vector<Endpoint> peers = this->DocumentPeerEndpoints();
     this->WithDocumentStore(kind, [&](auto& store) {
       store.OnFetched(now, answer.value(), content, peers, random, out);
     });
@@ -226,10 +222,9 @@
   bool IsStopPlanned(TimePoint now) const {
     const auto view = this->blackboard.Read();
     const Vm* const vm = FindVm(*view->vms.value, view->self.value->id.vm);
-    if (vm == nullptr)
-      return false;
     const PlannedChange* const change =
-        FindActiveChange(*view->config.value, *vm, now);
+        vm == nullptr ? nullptr
+                      : FindActiveChange(*view->config.value, *vm, now);
     return change != nullptr && change->kind == ChangeKind::kStop;
   }
 
@@ -270,22 +265,9 @@
                         kMaxConfirmationAgePercent / 100 <
             now)
       return true;
-    const auto view = this->blackboard.Read();
-    const uint64_t own = RendezvousScore(0, this->settings.id.value);
-    const DocumentGroup own_group = this->Group();
-    size_t higher_ranked = 0;
-    for (const MemberInfo& member : view->members.value->members) {
-      if (member.State() == MemberState::kAlive &&
-          own_group.Contains(member.data_centre) &&
-          RendezvousScore(0, member.id.vm.value) > own)
-        ++higher_ranked;
-    }
-    // A group of one data centre needs one watcher: the document stamps of
-    // other groups show when it is behind.
-    const bool has_other_groups =
-        own_group.data_centres.size() == 1 && !this->IsOnlyDataCentre(*view);
-    return higher_ranked <
-           (has_other_groups ? 1 : this->settings.platform_timing.watchers);
+    return IsWatcher(*this->blackboard.Read()->members.value, this->data_centre,
+                     this->settings.id,
+                     this->settings.platform_timing.watchers);
   }
 
   /** @return Whether both documents are active, which serving requires. */
@@ -304,40 +286,10 @@
   static constexpr Milliseconds kSeedPingInterval{200};
   /** Time between pings of the seed peers while this balancer serves alone. */
   static constexpr Milliseconds kIsolatedPingInterval{1000};
-  /** Delay of serving after both documents have become active, if all members
-   * have answered. */
-  static constexpr Milliseconds kStartDelayAllMembersHeard{300};
-  /** Maximum delay of serving after both documents have become active, while
-   * some members have not answered. */
-  static constexpr Milliseconds kMaxWaitForPeers{1000};
-  /** Maximum delay of serving while a peer has reported a newer document; after
-   * this delay, that peer counts as unreachable. */
-  static constexpr Milliseconds kMaxWaitForNewerDocuments{10000};
-
-  /** The document group and the members that it was formed from. */
-  struct CachedGroup {
-    std::shared_ptr<const MemberView> members;
-    DocumentGroup group;
-  };
-
   static VmInstance SelfInstance(const Settings& settings) {
     return {settings.id, settings.incarnation};
   }
 
-  static MemberInfo MakeSelf(const Settings& settings) {
-    return MakeMember(SelfInstance(settings), settings.peer,
-                      settings.data_centre);
-  }
-
-  /** @param sender State of the member that the stamps are about; a relayed
-   * acknowledgement comes from another address.
-   * @return The balancer to fetch from. */
-  DocumentSource SourceOf(const Endpoint& from,
-                          const MemberInfo& sender) const {
-    return {sender.peer == Endpoint{} ? from : sender.peer,
-            this->Group().Contains(sender.data_centre)};
-  }
-
   /** Handles the document stamps in a membership message. */
   void OnPeerVersions(TimePoint now,
                       const DocumentSource& source,
@@ -383,38 +335,14 @@
       this->vms.WithLock(function);
   }
 
-  /** @return Whether all known members are in this data centre. */
-  bool IsOnlyDataCentre(const BlackboardView& view) const {
-    return std::ranges::all_of(view.members.value->members,
-                               [this](const MemberInfo& member) {
-                                 return member.data_centre == this->data_centre;
-                               });
-  }
-
-  /** @return The balancers that this one shares documents with. */
-  DocumentGroup Group() const {
-    return this->group.WithLock([&](CachedGroup& cached) {
-      const auto members = this->blackboard.Read()->members.value;
-      if (cached.members != members) {
-        cached.members = members;
-        cached.group = FindDocumentGroup(*members, this->data_centre);
-      }
-      return cached.group;
-    });
+  std::vector<Endpoint> DocumentPeerEndpoints() const {
+    return this->peers.Endpoints(this->blackboard.Read()->members.value);
   }
 
-  /** @return Addresses of the members of this balancer's document group that
-   * are alive or stopping. */
-  std::vector<Endpoint> GroupPeerEndpoints() const {
-    const DocumentGroup own_group = this->Group();
-    std::vector<Endpoint> endpoints;
-    for (const MemberInfo& member :
-         this->blackboard.Read()->members.value->members) {
-      if (member.State() <= MemberState::kLeaving &&
-          own_group.Contains(member.data_centre))
-        endpoints.push_back(member.peer);
-    }
-    return endpoints;
+  DocumentSource SourceOf(const Endpoint& from,
+                          const MemberInfo& sender) const {
+    return this->peers.SourceOf(this->blackboard.Read()->members.value, from,
+                                sender);
   }
 
   /** Writes a document to the blackboard if it has changed. The caller holds
@@ -455,10 +383,6 @@
     this->RefreshIssueKey(now);
   }
 
-  static KeyNumber NewestKey(const Config& config) {
-    return config.keys.empty() ? KeyNumber{} : config.keys.rbegin()->first;
-  }
-
   /** Writes the members to the blackboard if they have changed. */
   void PublishMembers(TimePoint now) {
     const bool changed = this->members.WithLock([&](const MemberTable& table) {
@@ -494,44 +418,24 @@
         BlackboardSource::kMembership, now);
   }
 
-  /** @return The newest token key that all members not dead or stopped have, or
-   * the newest key of the configuration if they have none in common. Members
-   * that have not reported a key yet are ignored. */
-  static KeyNumber IssueKey(const Config& config, const MemberView& members) {
-    KeyNumber limit = NewestKey(config);
-    for (const MemberInfo& member : members.members) {
-      if (member.State() <= MemberState::kSuspect && member.newest_key != 0)
-        limit = std::min(limit, KeyNumber{member.newest_key});
-    }
-    const auto above = config.keys.upper_bound(limit);
-    return above == config.keys.begin() ? NewestKey(config)
-                                        : std::prev(above)->first;
-  }
-
   std::vector<Endpoint> SeedPeers() const {
     return this->seed_peers.WithLock([](const auto& peers) { return peers; });
   }
 
-  /** @return Time for which a starting balancer with both documents waits for
-   * newer documents from its peers before it serves. */
+  /** @return Time from readiness until this balancer serves. */
   Milliseconds DelayBeforeServing(const BlackboardView& view) const {
-    if (view.members.value->members.empty() && this->SeedPeers().empty())
-      return Milliseconds(0);
-    const bool is_behind = this->config.WithLock([](const auto& store) {
+    StartupProgress progress;
+    progress.knows_peers =
+        !view.members.value->members.empty() || !this->SeedPeers().empty();
+    progress.is_behind = this->config.WithLock([](const auto& store) {
       return store.HasNewerPeerDocument();
     }) || this->vms.WithLock([](const auto& store) {
       return store.HasNewerPeerDocument();
     });
-    // Serving with an older document would revert the configuration that is
-    // active in the fleet.
-    if (is_behind)
-      return kMaxWaitForNewerDocuments;
-    // The answer of the only peer with the newest document may be lost, so the
-    // answer of one peer is not enough.
-    const bool heard_all = this->members.WithLock([](const MemberTable& table) {
+    progress.heard_all = this->members.WithLock([](const MemberTable& table) {
       return table.HasHeardFromAllMembers();
     });
-    return heard_all ? kStartDelayAllMembersHeard : kMaxWaitForPeers;
+    return StartupDelay(progress);
   }
 
   /** Until this balancer serves, pings the seed peers, so that their answers
@@ -572,7 +476,7 @@
   Guarded<MemberTable, Mutex> members;
   const uint64_t data_centre;  ///< Hash of this balancer's data centre.
   Guarded<std::vector<Endpoint>, Mutex> seed_peers;
-  mutable Guarded<CachedGroup, Mutex> group;
+  DocumentPeers<Mutex> peers;  ///< Members that share documents.
   Guarded<DocumentStore<ConfigDocument>, Mutex> config;
   Guarded<DocumentStore<VmListDocument>, Mutex> vms;
   /** View revision last written to the blackboard; guarded by the lock of
--- a/src/member/document_group_func.cc
+++ b/src/member/document_group_func.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "base/rendezvous_func.h"
+
 namespace cuminvane {
 namespace {
 
@@ -29,4 +31,24 @@
   return small_ones;
 }
 
+bool IsWatcher(const MemberView& view,
+               uint64_t own_data_centre,
+               VmId own,
+               size_t watchers) {
+  const DocumentGroup group = FindDocumentGroup(view, own_data_centre);
+  const uint64_t own_score = RendezvousScore(0, own.value);
+  size_t higher_ranked = 0;
+  bool has_other_groups = false;
+  for (const MemberInfo& member : view.members) {
+    if (!group.Contains(member.data_centre))
+      has_other_groups = true;
+    else if (member.State() == MemberState::kAlive &&
+             RendezvousScore(0, member.id.vm.value) > own_score)
+      ++higher_ranked;
+  }
+  // The document stamps of other groups show when this one is behind, so one
+  // watcher is enough then.
+  return higher_ranked < (has_other_groups ? 1 : watchers);
+}
+
 }  // namespace cuminvane
--- a/src/member/document_group_func.h
+++ b/src/member/document_group_func.h
@@ -32,6 +32,18 @@
 /** @return The group of a balancer in data centre `own`. */
 DocumentGroup FindDocumentGroup(const MemberView& view, uint64_t own);
 
+/**
+ * @param own_data_centre Data centre of the balancer.
+ * @param own VM of the balancer.
+ * @param watchers Number of watchers of a group.
+ * @return Whether the balancer is one of the watchers of its group, which are
+ * chosen by rendezvous hashing among the live members.
+ */
+bool IsWatcher(const MemberView& view,
+               uint64_t own_data_centre,
+               VmId own,
+               size_t watchers);
+
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_MEMBER_DOCUMENT_GROUP_FUNC_H_
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -29,6 +29,12 @@
 /** @return The state's name in logs and status, for example `member_alive`. */
 const char* ToString(MemberState state);
 
+/** @return Whether the member is dead or has left. Such members are excluded
+ * from the regular probes. */
+inline bool IsDeadOrLeft(MemberState state) {
+  return state == MemberState::kDead || state == MemberState::kLeft;
+}
+
 /** State of one member, as balancers gossip it. */
 struct MemberInfo {
   VmInstance id;  ///< The VM and its incarnation.
--- a/src/message/message_func.h
+++ b/src/message/message_func.h
@@ -85,6 +85,14 @@
   }
 }
 
+/** Decodes the header and the message behind it. @return The message, or an
+ * error of DecodeHeader() or Decode(). */
+template <class Message>
+Result<Message> DecodeWhole(std::string_view datagram) {
+  BOOST_OUTCOME_TRY(header, DecodeHeader(datagram));
+  return Decode<Message>(datagram, header);
+}
+
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_MESSAGE_MESSAGE_FUNC_H_
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -34,19 +34,6 @@
 constexpr Milliseconds kStallThreshold{60};
 /** Weight of the newest answer in the moving average of answer times. */
 constexpr double kAnswerWeight = 0.1;
-/** A backend server whose answers take more than this many times the mean of
- * all candidates gets fewer flows. */
-constexpr double kSlowFactor = 2.0;
-/** Share of its slots that is assumed as the capacity of a backend server in
- * slow start. */
-constexpr double kSlowStartShare = 0.5;
-/** Utilisation of the local slots up to which all new flows stay local. Above
- * it the chance that a flow stays local falls linearly, to zero at
- * kSpreadAllUtilisation. */
-constexpr double kLocalOnlyUtilisation = 0.5;
-/** Utilisation of the local slots from which on local backend servers are not
- * preferred. */
-constexpr double kSpreadAllUtilisation = 0.8;
 /** Time between two updates of utilisation, isolation and due health checks. */
 constexpr Milliseconds kUpdateInterval{100};
 /** Weight of the newest sample of the utilisation; with kUpdateInterval the
@@ -75,12 +62,6 @@
                         liveness.suspected_at - liveness.last_alive_at);
 }
 
-/** @return Whether the backend server is unreachable or refusing. */
-bool IsUnavailable(const PoolMember& member) {
-  return member.liveness.reachability == Reachability::kUnreachable ||
-         member.liveness.reachability == Reachability::kRefusing;
-}
-
 }  // namespace
 
 const char* ToString(Reachability reachability) {
@@ -173,107 +154,6 @@
          member.liveness.trusted_from <= now;
 }
 
-std::vector<PoolMember*> BackendPool::Candidates(ServiceId service,
-                                                 VmId avoided,
-                                                 TimePoint now) {
-  std::vector<PoolMember*> trusted;
-  std::vector<PoolMember*> suspects;
-  std::vector<PoolMember*> others;
-  for (auto& [vm, member] : this->members) {
-    if (member.service != service || !this->AcceptsFlows(member, now))
-      continue;
-    if (vm != avoided && this->IsTrusted(member, now))
-      trusted.push_back(&member);
-    else if (!IsUnavailable(member))
-      suspects.push_back(&member);
-    else
-      others.push_back(&member);
-  }
-  if (!trusted.empty())
-    return trusted;
-  return suspects.empty() ? others : suspects;
-}
-
-double BackendPool::Load(const PoolMember& member,
-                         double mean_answer_ms,
-                         TimePoint now) const {
-  double capacity = static_cast<double>(member.slots);
-  if (member.warm_up_ends_at > now)
-    capacity *= kSlowStartShare;
-  if (mean_answer_ms > 0 && member.answer_ms > kSlowFactor * mean_answer_ms)
-    capacity *= mean_answer_ms / member.answer_ms;
-  return (member.flows + member.waiting + 1) / capacity;
-}
-
-PoolMember* BackendPool::LeastLoaded(const std::vector<PoolMember*>& candidates,
-                                     TimePoint now,
-                                     RandomEngine& random) const {
-  double sum_ms = 0;
-  int measured = 0;
-  for (const PoolMember* const member : candidates) {
-    sum_ms += member->answer_ms;
-    measured += member->answer_ms > 0 ? 1 : 0;
-  }
-  const double mean_answer_ms = measured == 0 ? 0 : sum_ms / measured;
-  // A random start makes the balancers choose differently among equal loads.
-  const size_t start = DrawIndex(random, candidates.size());
-  PoolMember* best = nullptr;
-  double best_load = 0;
-  for (size_t step = 0; step < candidates.size(); ++step) {
-    PoolMember* const member = candidates[(start + step) % candidates.size()];
-    const double load = this->Load(*member, mean_answer_ms, now);
-    if (best != nullptr && load >= best_load)
-      continue;
-    best = member;
-    best_load = load;
-  }
-  return best;
-}
-
-std::vector<PoolMember*> BackendPool::WithRoom(
-    const std::vector<PoolMember*>& candidates,
-    int64_t depth_limit) {
-  for (const int64_t limit : {int64_t{1}, depth_limit}) {
-    std::vector<PoolMember*> with_room;
-    std::ranges::copy_if(
-        candidates, std::back_inserter(with_room),
-        [limit](const PoolMember* member) { return !IsFull(*member, limit); });
-    if (!with_room.empty())
-      return with_room;
-  }
-  return candidates;
-}
-
-bool BackendPool::PrefersLocal(ServiceId service, RandomEngine& random) const {
-  const auto found = this->local_utilisation.find(service);
-  const double utilisation =
-      found == this->local_utilisation.end() ? 0 : found->second;
-  const double chance = (kSpreadAllUtilisation - utilisation) /
-                        (kSpreadAllUtilisation - kLocalOnlyUtilisation);
-  return std::uniform_real_distribution<double>(0, 1)(random) < chance;
-}
-
-PoolChoice BackendPool::Choose(ServiceId service,
-                               VmId avoided,
-                               int64_t depth_limit,
-                               TimePoint now,
-                               RandomEngine& random) {
-  const std::vector<PoolMember*> all = this->Candidates(service, avoided, now);
-  if (all.empty())
-    return {};
-  std::vector<PoolMember*> local;
-  std::ranges::copy_if(all, std::back_inserter(local),
-                       [](const PoolMember* member) { return member->local; });
-  if (!local.empty() && this->PrefersLocal(service, random)) {
-    PoolMember* const best =
-        this->LeastLoaded(WithRoom(local, depth_limit), now, random);
-    if (!IsFull(*best, depth_limit))
-      return {best, "near"};
-  }
-  return {this->LeastLoaded(WithRoom(all, depth_limit), now, random),
-          "least_loaded"};
-}
-
 void BackendPool::OnAlive(PoolMember& member,
                           TimePoint now,
                           PacketOutput& out) {
@@ -306,11 +186,6 @@
   this->SetReachability(member, Reachability::kReachable, reason, out);
 }
 
-bool BackendPool::IsFull(const PoolMember& member, int64_t depth_limit) {
-  return depth_limit > 0 && !IsUnavailable(member) &&
-         member.waiting >= depth_limit * member.slots;
-}
-
 void BackendPool::OnAnswer(PoolMember& member, Microseconds time) {
   const double ms = std::chrono::duration<double, std::milli>(time).count();
   member.answer_ms =
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -133,6 +133,12 @@
   bool operator==(const PoolMember&) const = default;
 };
 
+/** @return Whether the backend server is unreachable or refusing. */
+inline bool IsUnavailable(const PoolMember& member) {
+  return member.liveness.reachability == Reachability::kUnreachable ||
+         member.liveness.reachability == Reachability::kRefusing;
+}
+
 }  // namespace cuminvane
 
 #endif  // CUMINVANE_PACKET_POOL_TYPE_H_
--- a/src/request/token_plane_base.h
+++ b/src/request/token_plane_base.h
@@ -178,21 +178,6 @@
     return this->control.OfferDocument(now, kind, text, random, out);
   }
 
-  /** @return The answer to a peer's fetch; see ControlPlane::AnswerFetch. */
-  std::optional<FetchAnswer> AnswerFetch(std::string_view request) {
-    return this->control.AnswerFetch(request);
-  }
-
-  /** Handles the end of a fetch; see ControlPlane::OnFetchEnded. */
-  void OnFetchEnded(TimePoint now,
-                    uint8_t kind,
-                    std::string_view header,
-                    std::string_view content,
-                    RandomEngine& random,
-                    Output& out) {
-    this->control.OnFetchEnded(now, kind, header, content, random, out);
-  }
-
   /** Sends due membership probes, handles expired request timers and activates
    * due planned changes. Must be called every few milliseconds, always from the
    * same thread. */
@@ -232,10 +217,9 @@
   /** Records that this balancer had the newest documents at time `at`. */
   void ConfirmDocuments(TimePoint at) { this->control.ConfirmDocuments(at); }
 
-  /** @return What this balancer knows about its own state. */
-  SelfEvidence ReadSelfEvidence(TimePoint now) const {
-    return this->control.ReadSelfEvidence(now);
-  }
+  /** @return Membership and documents. */
+  ControlPlane<Mutex>& Control() { return this->control; }
+  const ControlPlane<Mutex>& Control() const { return this->control; }
   /** @return Whether a configuration and a VM list are active, which is needed
    * to serve callers. */
   bool IsReady() const { return this->control.IsReady(); }
--- a/tests/fleet_fake.cc
+++ b/tests/fleet_fake.cc
@@ -457,7 +457,8 @@
       !this->cut_links.contains({VmOf(base), VmOf(fetch.peer)});
   FetchEnd end{balancer, incarnation, fetch.kind, "", ""};
   if (reachable) {
-    if (const auto answer = asked->second.node->AnswerFetch(fetch.request)) {
+    if (const auto answer =
+            asked->second.node->Control().AnswerFetch(fetch.request)) {
       end.header = answer->header;
       end.content = *answer->content;
     }
@@ -480,8 +481,8 @@
     return;
   }
   Output out;
-  state.node->OnFetchEnded(this->now, end.kind, end.header, end.content,
-                           this->random, out);
+  state.node->Control().OnFetchEnded(this->now, end.kind, end.header,
+                                     end.content, this->random, out);
   this->SendOutput(BalancerEndpoint(end.balancer, Channel::kFabric), out);
 }
 
