--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -260,8 +260,8 @@
                              const std::vector<Endpoint>& peers,
                              RandomEngine& random,
                              Output& out) {
-    const std::string text = JoinSections(new_sections);
-    const uint64_t digest = DigestOf(text);
+    std::string new_text = JoinSections(new_sections);
+    const uint64_t digest = DigestOf(new_text);
     if (digest == this->stamp.digest)
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     IniProblems problems;
@@ -284,7 +284,8 @@
     }
     const DocumentDelta delta = MakeDelta(this->sections, new_sections);
     const DocumentStamp before = this->stamp;
-    this->Activate(std::move(new_sections), std::move(value), offered, out);
+    this->Activate(std::move(new_sections), std::move(new_text),
+                   std::move(value), offered, out);
     this->RecordChange(before, delta);
     this->plan.OnProgress(offered, now, random);
     if (before != DocumentStamp{})
@@ -292,12 +293,13 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
-  void Activate(SectionTexts new_sections,
-                Value value,
+  void Activate(SectionTexts&& new_sections,
+                std::string&& new_text,
+                Value&& value,
                 const DocumentStamp& offered,
                 Output& out) {
     this->sections = std::move(new_sections);
-    this->text = JoinSections(this->sections);
+    this->text = std::move(new_text);
     this->current = std::make_shared<const Value>(std::move(value));
     this->stamp = offered;
     this->packed.clear();
