A fetch without an end is given up; unexpected errors are counted on the metrics page

Cause: an exception in the handling of a fetch's answer would leave the fetch running, and this balancer would fetch no document again. Found by reading; the test fails without the limit of 60 s.

--- a/src/document/fetch_plan_base.h
+++ b/src/document/fetch_plan_base.h
@@ -71,8 +71,10 @@
   }
 
   /** @return The balancer to fetch from now; no value if no fetch is due. The
-   * fetch runs until OnEnded. */
+   * fetch runs until OnEnded, or for kMaxFetchTime. */
   std::optional<Endpoint> StartDue(TimePoint now, RandomEngine& random) {
+    if (this->running && this->gives_up_at <= now)
+      this->OnEnded(false, now, random);
     if (this->running || this->sources.empty() || now < this->next_attempt_at)
       return std::nullopt;
     const bool use_local = std::ranges::any_of(
@@ -90,6 +92,7 @@
       newest.push_back(peer);
     }
     this->running = newest[DrawIndex(random, newest.size())];
+    this->gives_up_at = now + kMaxFetchTime;
     return this->running;
   }
 
@@ -124,6 +127,9 @@
   static constexpr Milliseconds kFirstRetryDelay{100};
   /** Maximum number of doublings of kFirstRetryDelay. */
   static constexpr int kMaxDoublings = 5;
+  /** A fetch whose end is not reported within this time counts as failed, so
+   * that an error in its handling does not end all fetches. */
+  static constexpr Seconds kMaxFetchTime{60};
   /** Maximum number of sources that are remembered. */
   static constexpr size_t kMaxSources = 32;
 
@@ -143,6 +149,7 @@
 
   std::map<Endpoint, SourceState> sources;  ///< Balancers with newer versions.
   std::optional<Endpoint> running;          ///< Source of the running fetch.
+  TimePoint gives_up_at;      ///< When the running fetch counts as failed.
   TimePoint next_attempt_at;  ///< Earliest start of the next fetch.
   TimePoint remote_from;      ///< Earliest use of other data centres.
   int failures = 0;           ///< Failed fetches since the last progress.
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -23,11 +23,14 @@
 
 namespace cuminvane {
 
-/** Maintains the blackboard: documents, members and the state of this balancer.
+/**
+ * Maintains the blackboard: documents, members and the state of this balancer.
  * Thread-safe, except that Tick must always be called by the same thread.
  * Membership and each document have their own lock; a change is written to the
  * blackboard while that lock is held, so that an older state never overwrites a
- * newer one. @tparam Mutex Type of all locks. */
+ * newer one.
+ * @tparam Mutex Type of all locks.
+ */
 template <Lockable Mutex>
 class ControlPlane {
  public:
@@ -69,14 +72,10 @@
                              RandomEngine& random,
                              Output& out) {
     const std::vector<Endpoint> peers = this->DocumentPeerEndpoints();
-    Result<void> result =
-        kind == DocumentKind::kConfig
-            ? this->config.WithLock([&](auto& store) {
-                return store.Offer(now, text, peers, random, out);
-              })
-            : this->vms.WithLock([&](auto& store) {
-                return store.Offer(now, text, peers, random, out);
-              });
+    Result<void> result = BOOST_OUTCOME_V2_NAMESPACE::success();
+    this->WithDocumentStore(static_cast<uint8_t>(kind), [&](auto& store) {
+      result = store.Offer(now, text, peers, random, out);
+    });
     this->PublishDocuments(now);
     return result;
   }
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -134,7 +134,9 @@
   return {true, true,
           FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
                         this->balancer.GetPacketPlane().FlowCount(),
-                        this->balancer.GetPacketPlane().Backends(), merged)};
+                        this->balancer.GetPacketPlane().Backends(), merged) +
+              "cuminvane_unexpected_errors_total " +
+              std::to_string(UnexpectedErrors()) + "\n"};
 }
 
 void Daemon::ScheduleTick() {
--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -214,8 +214,19 @@
   ReportNewer(kLocal, 5, false);
   ReportNewer(kOtherLocal, 6, false);
   CHECK(plan.StartDue(now, random).has_value());
+  now += Seconds(59);
+  CHECK(!plan.StartDue(now, random).has_value());
+}
+
+/** The end of a fetch was never reported, because its handler failed. */
+TEST(FetchPlans, FetchWithoutAnEndIsGivenUp) {
+  ReportNewer(kLocal, 5, false);
+  CHECK(plan.StartDue(now, random) == kLocal.peer);
+  ReportNewer(kOtherLocal, 5, false);
   now += Seconds(60);
   CHECK(!plan.StartDue(now, random).has_value());
+  now += Seconds(1);
+  CHECK(plan.StartDue(now, random) == kOtherLocal.peer);
 }
 
 /** Bytes between data centres are dear, and every data centre has a watcher. */
