--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -215,6 +215,9 @@
     decision.reason = "backend_lost";
     decision.vm = vm;
     decision.count = static_cast<int64_t>(out.resets.size() - before);
+    decision.age = this->pool.WithLock([now](const BackendPool& backends) {
+      return backends.Guard().DocumentAge(now);
+    });
     out.common.decisions.push_back(decision);
   }
 
--- a/src/packet/reset_guard_base.h
+++ b/src/packet/reset_guard_base.h
@@ -4,6 +4,8 @@
 #ifndef CUMINVANE_PACKET_RESET_GUARD_BASE_H_
 #define CUMINVANE_PACKET_RESET_GUARD_BASE_H_
 
+#include <algorithm>
+
 #include "base/time_type.h"
 #include "member/evidence_type.h"
 
@@ -27,6 +29,14 @@
       this->fresh_since = now;
   }
 
+  /** @return Time since the documents were known to be the newest ones; 0 if
+   * they never were. */
+  Microseconds DocumentAge(TimePoint now) const {
+    return this->confirmed_at == TimePoint{}
+               ? Microseconds(0)
+               : std::max(Microseconds(0), now - this->confirmed_at);
+  }
+
   /**
    * @param first_packet_at When this balancer first saw the flow of a tag or
    * route that its documents lack.
