Tests: a refused health check resets open flows of a server that stops

Callers saw an open flow reset by a balancer while its server served. Three of the four new tests fail here (expected 0 resets, found 1); CrashedServerThatRefusesConnectionsHasItsFlowsReset passes and guards the other side.

--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -143,3 +143,63 @@
   CHECK(plane.SendData(key, opened.tag, 101, 1000, 50).type ==
         PacketActionType::kForward);
 }
+
+/** A backend server closes its listener before it finishes its last requests.
+ */
+TEST(ResetGuard, LeavingServerThatRefusesConnectionsKeepsItsOpenFlows) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.OfferVmList({{1, "desk", "a", 1, opened.backend == VmId{1}},
+                     {2, "desk", "a", 1, opened.backend == VmId{2}}});
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  CHECK(plane.SendData(key, opened.tag, 101, 1000, 50).type ==
+        PacketActionType::kForward);
+}
+
+TEST(ResetGuard, RefusalWhileDocumentsAreBehindResetsNoFlow) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  plane.documents_confirmed = false;
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  // The documents arrive, and the server is not leaving: it has crashed.
+  plane.documents_confirmed = true;
+  plane.RunFor(Milliseconds(4000));
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(1, plane.out.resets.size());
+}
+
+TEST(ResetGuard, FlowsKeptAtARefusingServerAreResetOnceItIsSilent) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.OfferVmList({{3 - opened.backend.value}});
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  plane.out.checks.clear();
+  plane.RunFor(Milliseconds(700));
+  LONGS_EQUAL(1, plane.out.checks.size());
+  LONGS_EQUAL(3, plane.out.checks.front().attempts);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  LONGS_EQUAL(1, plane.out.resets.size());
+}
+
+TEST(ResetGuard, CrashedServerThatRefusesConnectionsHasItsFlowsReset) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const PacketAction opened =
+      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(1, plane.out.resets.size());
+}
