Keep open flows of a server that refuses connections while it may stop

Cause: a refused health check counted as proof that the server's process had crashed. A process that stops closes its listener first and serves its open flows a little longer; the refusal says nothing about these.

Change: a refusal is proof only if this balancer's documents show each server that stops: fresh for 3 s, confirmed within the last 2 s, and they list the server as not leaving.

--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -82,21 +82,20 @@
     });
   }
 
-  /** Handles the result of a health check. If the backend server has become
-   * unavailable, its flows are reset so that callers can open new ones on other
-   * backend servers; a time-out is also reported to other balancers. */
+  /** Handles the result of a health check. If the flows of the backend server
+   * are lost, they are reset so that callers can open new ones on other backend
+   * servers; a time-out is also reported to other balancers. */
   void OnHealthCheckResult(TimePoint now,
                            VmId vm,
                            HealthCheckResult result,
                            const MemberView& members,
                            RandomEngine& random,
                            PacketOutput& out) {
-    const bool became_unavailable =
-        this->pool.WithLock([&](BackendPool& backends) {
-          return backends.OnHealthCheckResult(vm, result, now, out) &&
-                 !backends.IsIsolated();
-        });
-    if (!became_unavailable)
+    const bool flows_lost = this->pool.WithLock([&](BackendPool& backends) {
+      return backends.OnHealthCheckResult(vm, result, now, out) &&
+             !backends.IsIsolated();
+    });
+    if (!flows_lost)
       return;
     this->ResetFlowsOf(vm, now, out);
     if (result == HealthCheckResult::kTimedOut)
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -177,6 +177,7 @@
                                 TimePoint now,
                                 PacketOutput& out) {
   Liveness& liveness = member.liveness;
+  liveness.flows_kept = false;
   if (IsUnavailable(member)) {
     const int doublings =
         std::min(liveness.recent_losses - 1, kMaxReinstatementDoublings);
@@ -219,7 +220,9 @@
   member.liveness.next_check_at = now + this->limits.min_check_interval;
   out.checks.push_back(
       {member.vm, member.address, this->NextControl(),
-       failure_signal == FailureSignal::kRecheck ? 1 : kCheckAttempts,
+       failure_signal == FailureSignal::kRecheck && !member.liveness.flows_kept
+           ? 1
+           : kCheckAttempts,
        now + this->limits.check_timeout});
 }
 
@@ -254,16 +257,17 @@
                           out);
     return false;
   }
+  const bool stalled_meanwhile = result == HealthCheckResult::kTimedOut &&
+                                 this->last_stall_at >= liveness.suspected_at;
   if (IsUnavailable(*member)) {
     liveness.next_check_at = now + this->limits.recheck_interval;
-    return false;
+    return liveness.flows_kept && !stalled_meanwhile &&
+           this->LosesFlows(*member, result, now, out);
   }
   if (liveness.reachability == Reachability::kReachable)
     return false;  // One of its flows was answered before the check ended.
   const bool answered_meanwhile =
       liveness.last_alive_at > liveness.suspected_at;
-  const bool stalled_meanwhile = result == HealthCheckResult::kTimedOut &&
-                                 this->last_stall_at >= liveness.suspected_at;
   if (answered_meanwhile || stalled_meanwhile) {
     this->SetReachability(*member, Reachability::kReachable,
                           answered_meanwhile ? "flow_answered" : "held_up",
@@ -275,13 +279,34 @@
                                : 1;
   liveness.last_loss_at = now;
   liveness.next_check_at = now + this->limits.recheck_interval;
-  const bool timed_out = result == HealthCheckResult::kTimedOut;
-  this->SetReachability(
-      *member, timed_out ? Reachability::kUnreachable : Reachability::kRefusing,
-      timed_out ? "check_silent" : "check_refused", out);
-  if (timed_out)
-    this->SuspectDataCentre(*member, now, out);
-  return true;
+  return this->LosesFlows(*member, result, now, out);
+}
+
+bool BackendPool::LosesFlows(PoolMember& member,
+                             HealthCheckResult result,
+                             TimePoint now,
+                             PacketOutput& out) {
+  Liveness& liveness = member.liveness;
+  if (result == HealthCheckResult::kTimedOut) {
+    liveness.flows_kept = false;
+    this->SetReachability(member, Reachability::kUnreachable, "check_silent",
+                          out);
+    this->SuspectDataCentre(member, now, out);
+    return true;
+  }
+  if (liveness.reachability != Reachability::kRefusing)
+    this->SetReachability(member, Reachability::kRefusing, "check_refused",
+                          out);
+  // A stopping process closes its listener first and then finishes its
+  // requests, so only a server that is known not to stop has crashed.
+  const bool may_be_stopping = member.leaving || member.delisted_at != kNever;
+  const bool crashed = !may_be_stopping && this->guard.DocumentsShowStops(now);
+  if (!crashed && !liveness.flows_kept)
+    this->LogReachability(member, Severity::kInfo, "flows_kept",
+                          may_be_stopping ? "leaving" : "documents_behind",
+                          out);
+  liveness.flows_kept = !crashed;
+  return crashed;
 }
 
 void BackendPool::SuspectDataCentre(const PoolMember& unreachable,
@@ -305,13 +330,20 @@
                                   const char* reason,
                                   PacketOutput& out) {
   member.liveness.reachability = reachability;
+  LogReachability(member,
+                  IsUnavailable(member) ? Severity::kWarning : Severity::kInfo,
+                  ToString(reachability), reason, out);
+}
+
+void BackendPool::LogReachability(const PoolMember& member,
+                                  Severity severity,
+                                  const char* event,
+                                  const char* reason,
+                                  PacketOutput& out) {
   Decision decision;
   decision.topic = Topic::kReachability;
-  decision.severity = reachability == Reachability::kUnreachable ||
-                              reachability == Reachability::kRefusing
-                          ? Severity::kWarning
-                          : Severity::kInfo;
-  decision.event = ToString(reachability);
+  decision.severity = severity;
+  decision.event = event;
   decision.reason = reason;
   decision.vm = member.vm;
   decision.count = member.flows;
@@ -338,9 +370,10 @@
     const bool unproven =
         IsUnavailable(member) ||
         member.liveness.reachability == Reachability::kSuspect;
-    const bool due = unproven && !member.liveness.check_pending &&
-                     member.liveness.next_check_at <= now &&
-                     member.delisted_at == kNever;
+    const bool due =
+        unproven && !member.liveness.check_pending &&
+        member.liveness.next_check_at <= now &&
+        (member.delisted_at == kNever || member.liveness.flows_kept);
     if (due)
       this->StartHealthCheck(member, FailureSignal::kRecheck, now, out);
   }
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -129,7 +129,7 @@
                        PacketOutput& out);
   /**
    * Handles the result of a health check.
-   * @return Whether the backend server has just become unavailable.
+   * @return Whether its open flows have just been lost.
    */
   bool OnHealthCheckResult(VmId vm,
                            HealthCheckResult result,
@@ -208,6 +208,15 @@
                         FailureSignal failure_signal,
                         TimePoint now,
                         PacketOutput& out);
+  /**
+   * Marks a backend server as unavailable after a check without success.
+   * @return Whether its open flows are lost. They are kept while it refuses
+   * connections and may be stopping.
+   */
+  bool LosesFlows(PoolMember& member,
+                  HealthCheckResult result,
+                  TimePoint now,
+                  PacketOutput& out);
   /** Reports a failure signal for the other backend servers in the data centre
    * of an unreachable one that have not answered since its check started. */
   void SuspectDataCentre(const PoolMember& unreachable,
@@ -221,6 +230,12 @@
                        Reachability reachability,
                        const char* reason,
                        PacketOutput& out);
+  /** Logs a decision about a backend server's reachability. */
+  static void LogReachability(const PoolMember& member,
+                              Severity severity,
+                              const char* event,
+                              const char* reason,
+                              PacketOutput& out);
   /** Adds a sample of the current utilisation to `local_utilisation`. */
   void UpdateLocalUtilisation(TimePoint now, int local_balancers);
   /** Updates `isolated` from the health of the listed backend servers. */
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -104,6 +104,8 @@
                            ///< kFlapWindow after the previous one.
   TimePoint reported_at;   ///< When its loss was last reported to or by a peer.
   bool check_pending = false;  ///< A health check has not returned its result.
+  /** It refuses connections, but may still serve its open flows. */
+  bool flows_kept = false;
 
   bool operator==(const Liveness&) const = default;
 };
--- a/src/packet/reset_guard_base.h
+++ b/src/packet/reset_guard_base.h
@@ -37,6 +37,13 @@
                : std::max(Microseconds(0), now - this->confirmed_at);
   }
 
+  /** @return Whether the documents show each backend server that is stopping
+   * and no longer accepts connections. */
+  bool DocumentsShowStops(TimePoint now) const {
+    return this->DocumentsSettled(now) &&
+           this->confirmed_at + kStopNotice >= now;
+  }
+
   /**
    * @param first_packet_at When this balancer first saw the flow of a tag or
    * route that its documents lack.
@@ -44,8 +51,7 @@
    * that the tag or route would be in them.
    */
   bool DocumentsCoverFlow(TimePoint first_packet_at, TimePoint now) const {
-    return this->fresh_since != kNever &&
-           this->fresh_since + kSettleTime <= now &&
+    return this->DocumentsSettled(now) &&
            first_packet_at + kSettleTime <= now &&
            this->confirmed_at >= first_packet_at;
   }
@@ -56,6 +62,16 @@
    * a new entry to this balancer. */
   static constexpr Milliseconds kSettleTime{3000};
 
+  /** A backend server that stops announces it at least this long before it
+   * closes its listener. */
+  static constexpr Milliseconds kStopNotice{2000};
+
+  /** @return Whether the documents have been fresh for kSettleTime. */
+  bool DocumentsSettled(TimePoint now) const {
+    return this->fresh_since != kNever &&
+           this->fresh_since + kSettleTime <= now;
+  }
+
   TimePoint confirmed_at;  ///< Last time the documents were the newest ones.
   TimePoint fresh_since = kNever;  ///< Since when the documents have been fresh
                                    ///< without a gap; kNever if they are not.
