Lists of VMs read after a restore of the store replace all before

Servers that left kept getting new flows past 3 s (DRAIN) after the store had come back from an older copy, and flows placed there were cut.

Cause: the list's version was the store's revision. A restore takes revisions back, so each later list was refused as stale until the revision had passed the old one. A watch that the store still answered, because its new revision was higher, went on over the restore, and pages of one reading could be from before and after it.

Change: the store's answers carry the number of its restores. The watcher reads everything again when it changes, also between two pages, and the list's version is the revision plus 10^10 for each restore. The log names era and revision.

--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -3,6 +3,7 @@
 #include "shell/watcher_base.h"
 
 #include <algorithm>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -25,6 +26,12 @@
  * should. */
 constexpr Milliseconds kIdlePollInterval{100};
 
+/** @return The position as key=value pairs. */
+std::string FormatPosition(const platform::StorePosition& position) {
+  return "era=" + std::to_string(position.era) +
+         " revision=" + std::to_string(position.revision);
+}
+
 void LogConfigLine(Severity severity, const std::string& pairs) {
   LogLine(Topic::kConfig, severity, pairs);
 }
@@ -76,13 +83,19 @@
 Result<void> StoreWatcher::ReadAllItems() {
   platform::StoreItems new_items;
   std::string last_key;
-  uint64_t first_revision = 0;
+  std::optional<platform::StorePosition> first_position;
   bool has_more = true;
   const TimePoint started_at = ReadClock();
   while (has_more) {
     BOOST_OUTCOME_TRY(page, this->client.ReadPage(last_key));
-    if (first_revision == 0)
-      first_revision = page.revision;
+    if (!first_position)
+      first_position = page.position;
+    if (page.position.era != first_position->era)
+      return Error{ResultCode::kPlatformUnreachable,
+                   "the store was restored while its items were read: expected "
+                   "era " +
+                       std::to_string(first_position->era) + ", found " +
+                       std::to_string(page.position.era)};
     for (platform::StoreItem& item : page.items) {
       last_key = item.key;
       new_items[item.key] = std::move(item.value);
@@ -92,7 +105,12 @@
   // The watch starts at the first page's revision, so it reports changes made
   // while the other pages were read.
   this->items = std::move(new_items);
-  this->revision = first_revision;
+  if (this->position.era != first_position->era) {
+    // The lists of the era before are not newer, whatever they contain.
+    this->published_config = {};
+    this->published_vms = {};
+  }
+  this->position = *first_position;
   this->items_complete = true;
   this->items_changed = true;
   this->OnSuccess(started_at);
@@ -100,30 +118,39 @@
 }
 
 Result<void> StoreWatcher::WaitForChanges() {
-  BOOST_OUTCOME_TRY(
-      answer, this->client.Watch(this->revision, this->timing.in_force_within /
-                                                     kWatchWaitDivisor));
+  BOOST_OUTCOME_TRY(answer, this->client.Watch(this->position.revision,
+                                               this->timing.in_force_within /
+                                                   kWatchWaitDivisor));
   if (answer.compacted) {
-    LogConfigLine(Severity::kInfo, "event=platform_history_lost revision=" +
-                                       std::to_string(this->revision));
+    LogConfigLine(Severity::kInfo, "event=platform_history_lost " +
+                                       FormatPosition(this->position));
     this->items_complete = false;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  if (answer.revision < this->revision) {
-    LogConfigLine(
-        Severity::kError,
-        "event=platform_went_back revision=" + std::to_string(this->revision) +
-            " found=" + std::to_string(answer.revision));
+  if (!this->ContinuesHistory(answer.position)) {
     this->items_complete = false;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   for (const platform::StoreItem& item : answer.items)
     this->ApplyChange(item);
-  this->revision = std::max(this->revision, answer.revision);
+  this->position = answer.position;
   this->OnSuccess(ReadClock());
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+bool StoreWatcher::ContinuesHistory(const platform::StorePosition& answered) {
+  const bool restored = answered.era != this->position.era;
+  if (!restored && answered.revision >= this->position.revision)
+    return true;
+  LogConfigLine(restored ? Severity::kWarning : Severity::kError,
+                std::string("event=") +
+                    (restored ? "platform_restored" : "platform_went_back") +
+                    " " + FormatPosition(this->position) +
+                    " found_era=" + std::to_string(answered.era) +
+                    " found_revision=" + std::to_string(answered.revision));
+  return false;
+}
+
 void StoreWatcher::ApplyChange(const platform::StoreItem& item) {
   if (item.removed)
     this->items.erase(item.key);
@@ -138,13 +165,15 @@
   if (next_config != this->published_config)
     this->OfferDocument(DocumentKind::kConfig, next_config);
   this->published_config = next_config;
-  // Many revisions don't change the VM list. Translations are compared with
-  // version 0, because the published version is the store's revision.
+  // Many revisions don't change the VM list, so translations are compared with
+  // version 0.
   const platform::Translation next_vms =
       platform::TranslateVmList(this->items, 0);
   if (next_vms != this->published_vms)
-    this->OfferDocument(DocumentKind::kVmList,
-                        platform::TranslateVmList(this->items, this->revision));
+    this->OfferDocument(
+        DocumentKind::kVmList,
+        platform::TranslateVmList(this->items,
+                                  platform::VmListVersion(this->position)));
   this->published_vms = next_vms;
 }
 
@@ -167,10 +196,10 @@
 
 void StoreWatcher::OnFailure(const Error& error) {
   if (std::exchange(this->reachable, false))
-    LogConfigLine(Severity::kWarning,
-                  std::string("event=platform_lost code=") +
-                      ToString(error.code) + " reason=\"" + error.message +
-                      "\" revision=" + std::to_string(this->revision));
+    LogConfigLine(Severity::kWarning, std::string("event=platform_lost code=") +
+                                          ToString(error.code) + " reason=\"" +
+                                          error.message + "\" " +
+                                          FormatPosition(this->position));
   this->Sleep(this->retry_delay);
   this->retry_delay = std::min(this->retry_delay * 2,
                                this->timing.in_force_within / kMaxDelayDivisor);
@@ -178,8 +207,8 @@
 
 void StoreWatcher::OnSuccess(TimePoint at) {
   if (!std::exchange(this->reachable, true))
-    LogConfigLine(Severity::kInfo, "event=platform_regained revision=" +
-                                       std::to_string(this->revision));
+    LogConfigLine(Severity::kInfo,
+                  "event=platform_regained " + FormatPosition(this->position));
   this->retry_delay = this->timing.retry;
   this->items_current_at = at;
 }
--- a/src/shell/watcher_base.h
+++ b/src/shell/watcher_base.h
@@ -30,7 +30,7 @@
 
 /** Reads all items of the store once, then waits for changes. Reads all items
  * again if the store no longer has the history since the last known revision,
- * or if its revision went back. */
+ * if it was restored from an older copy, or if its revision went back. */
 class StoreWatcher {
  public:
   /**
@@ -53,6 +53,9 @@
   void PublishChanges();
   void OfferDocument(DocumentKind kind,
                      const platform::Translation& translation);
+  /** @return Whether the answer continues the history that `items` come from.
+   * If not, all items are read again. */
+  bool ContinuesHistory(const platform::StorePosition& answered);
   void OnFailure(const Error& error);
   void OnSuccess(TimePoint at);
   void Sleep(Milliseconds time) const;
@@ -61,8 +64,8 @@
   WatcherHooks hooks;
   const std::atomic<bool>& stop;
   platform::StoreClient client;
-  platform::StoreItems items;   ///< Local replica of the store's items.
-  uint64_t revision = 0;        ///< Revision of the store that `items` match.
+  platform::StoreItems items;        ///< Local replica of the store's items.
+  platform::StorePosition position;  ///< Position that `items` match.
   bool items_complete = false;  ///< Whether `items` contain all items; false
                                 ///< makes the next cycle read them all.
   bool items_changed = false;   ///< `items` changed since the last publication.
@@ -71,7 +74,7 @@
   Milliseconds retry_delay;  ///< Wait after the next failed call; doubles
                              ///< with each failure.
   platform::Translation published_config;  ///< Configuration passed last.
-  /** VM list passed last, with version 0 in place of the store's revision. */
+  /** VM list passed last, with version 0 in place of its own. */
   platform::Translation published_vms;
 };
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -154,7 +154,7 @@
       R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"create_revision":4,"lease":0}],"has_more":true,"current_rev":530})");
   CHECK(page.has_value());
   CHECK(page.value().has_more);
-  LONGS_EQUAL(530, page.value().revision);
+  LONGS_EQUAL(530, page.value().position.revision);
   STRCMP_EQUAL("node-1", page.value().items.front().value.c_str());
   const Result<platform::StoreAnswer> changes = platform::ParseStoreAnswer(
       R"({"events":[{"key":"b","revision":413,"removed":true}],"current_rev":413})");
@@ -162,6 +162,14 @@
   CHECK(changes.value().items.front().removed);
 }
 
+/** A restore takes revisions back and gives them out again. */
+TEST(Platform, ListReadAfterARestoreIsNewerThanAnyBefore) {
+  CHECK(platform::VmListVersion({2, 1}) >
+        platform::VmListVersion({1, 9'999'999'999}));
+  CHECK(platform::VmListVersion({2, 35}) > platform::VmListVersion({2, 34}));
+  LONGLONGS_EQUAL(217, platform::VmListVersion({0, 217}));
+}
+
 TEST(Platform, MalformedStoreAnswersAreRejected) {
   for (const char* const body :
        {"", "[]", "{}", R"({"items":[]})", R"({"current_rev":1})",
