A balancer whose fetched delta does not fit fetches the whole document

Change: after such a refusal the next fetch asks for the whole text. ChangeTakenBackByARestoreKeepsNoBalancerBehind failed before (stamps differ after 2 s of fetches).

--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -167,11 +167,14 @@
                  RandomEngine& random,
                  Output& out) {
     const DocumentStamp before = this->stamp;
-    if (answer.to > this->stamp && answer.from == DocumentStamp{})
+    const bool is_delta = answer.from != DocumentStamp{};
+    if (answer.to > this->stamp && !is_delta)
       this->ApplyPackedText(now, content, peers, random, out);
     else if (answer.to > this->stamp && this->CanApplyFrom(answer.from))
       this->ApplyPackedDelta(now, content, answer.to, peers, random, out);
-    this->plan.OnEnded(this->stamp > before, now, random);
+    const bool succeeded = this->stamp > before;
+    this->fetch_whole_text = is_delta && !succeeded;
+    this->plan.OnEnded(succeeded, now, random);
   }
 
   /** A fetch has failed: the peer was unreachable, broke off or had nothing
@@ -185,7 +188,9 @@
     const std::optional<Endpoint> peer = this->plan.StartDue(now, random);
     if (!peer)
       return;
-    const DocumentFetch fetch{static_cast<uint8_t>(Traits::kKind), this->stamp};
+    const DocumentFetch fetch{
+        static_cast<uint8_t>(Traits::kKind),
+        this->fetch_whole_text ? DocumentStamp{} : this->stamp};
     out.fetches.push_back({fetch.kind, *peer, Encode(fetch)});
   }
 
@@ -206,8 +211,8 @@
 
   /** @return Whether a delta from that version can be applied. Versions of the
    * platform are one sequence, so a delta that starts earlier contains every
-   * section that has changed since the active version; the digest shows whether
-   * the result is right. */
+   * section that has changed since the active version, unless a change was
+   * taken back meanwhile; the digest shows whether the result is right. */
   bool CanApplyFrom(const DocumentStamp& from) const {
     return this->current != nullptr && from.version <= this->stamp.version;
   }
@@ -385,6 +390,9 @@
   /** Contents of answers to fetches of the active version, by the version that
    * they start from, so that they are compressed once. */
   std::map<DocumentStamp, std::shared_ptr<const std::string>> packed;
+  /** The last fetched delta led to another text, so the next fetch asks for the
+   * whole text. */
+  bool fetch_whole_text = false;
   /** Digest of the last invalid document, so that it is logged once; 0 if
    * none. */
   uint64_t refused_digest = 0;
--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -117,6 +117,19 @@
   LONGS_EQUAL(15, member.Stamp().version.value);
 }
 
+/** The store was restored, so the change in version 15 never happened for the
+ * other balancer, and no delta of it takes the change back. */
+TEST(DocumentFetches, ChangeTakenBackByARestoreKeepsNoBalancerBehind) {
+  Store first;
+  Store second;
+  Offer(first, ListOf(10, {{1, 1}, {2, 1}}));
+  Offer(first, ListOf(20, {{1, 5}, {2, 1}}));
+  Offer(second, ListOf(15, {{1, 1}, {2, 9}}));
+  RunFetches(first, second, Milliseconds(2000));
+  CHECK(first.Stamp() == second.Stamp());
+  CHECK(*first.Current() == *second.Current());
+}
+
 /** The document is too large for datagrams. */
 TEST(DocumentFetches, StartingBalancerFetchesTheWholeDocument) {
   Store first;
