A new instance of a backend server starts with its own health

A flow that another balancer had placed at the new instance of a restarted server was reset here, because the server still counted as unreachable from the instance before, or because a health check of the instance before ended after the list had named the new one.

Change: a higher incarnation in the list resets the reachability; the result of a check that is still running is ignored, and no other check starts before it ends. The time without trust after a loss stays.

NewInstanceOfALostServerKeepsItsFlows and HealthCheckOfTheInstanceBeforeIsNoProof failed before (reset instead of forward; 1 reset instead of 0).

--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -88,8 +88,10 @@
       continue;
     const auto [position, is_new] = this->members.try_emplace(vm.id);
     PoolMember& member = position->second;
-    if (!is_new && member.incarnation != vm.incarnation)
+    if (!is_new && member.incarnation != vm.incarnation) {
       restarted.push_back(vm.id);
+      this->ForgetInstance(member, now);
+    }
     if (member.incarnation != vm.incarnation)
       member.warm_up_ends_at = now + vm.warm_up_left;
     member.tag = TagOf(vm.id);
@@ -107,6 +109,18 @@
   return restarted;
 }
 
+void BackendPool::ForgetInstance(PoolMember& member, TimePoint now) const {
+  Liveness& liveness = member.liveness;
+  if (IsUnavailable(member))
+    liveness.trusted_from = this->ReinstatedFrom(liveness, now);
+  liveness.reachability = Reachability::kReachable;
+  liveness.flows_kept = false;
+  // A check that is still running ends before the next one starts, and its
+  // result is ignored.
+  liveness.check_pending = false;
+  liveness.next_check_at = now + this->limits.check_timeout;
+}
+
 void BackendPool::IndexTags() {
   this->by_tag.clear();
   // If several backend servers have the same tag, the oldest one keeps it,
@@ -176,17 +190,19 @@
                                 const char* reason,
                                 TimePoint now,
                                 PacketOutput& out) {
-  Liveness& liveness = member.liveness;
-  liveness.flows_kept = false;
-  if (IsUnavailable(member)) {
-    const int doublings =
-        std::min(liveness.recent_losses - 1, kMaxReinstatementDoublings);
-    liveness.trusted_from =
-        now + this->limits.reinstatement_delay * (1 << std::max(0, doublings));
-  }
+  member.liveness.flows_kept = false;
+  if (IsUnavailable(member))
+    member.liveness.trusted_from = this->ReinstatedFrom(member.liveness, now);
   this->SetReachability(member, Reachability::kReachable, reason, out);
 }
 
+TimePoint BackendPool::ReinstatedFrom(const Liveness& liveness,
+                                      TimePoint now) const {
+  const int doublings =
+      std::min(liveness.recent_losses - 1, kMaxReinstatementDoublings);
+  return now + this->limits.reinstatement_delay * (1 << std::max(0, doublings));
+}
+
 void BackendPool::OnAnswer(PoolMember& member, Microseconds time) {
   const double ms = std::chrono::duration<double, std::milli>(time).count();
   member.answer_ms =
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -160,6 +160,12 @@
   const std::map<VmId, PoolMember>& Members() const { return this->members; }
 
  private:
+  /** Forgets the health of a backend server's instance before, which is no
+   * evidence about the flows of its new instance. */
+  void ForgetInstance(PoolMember& member, TimePoint now) const;
+  /** @return End of the time without trust if an unavailable backend server
+   * recovers now. */
+  TimePoint ReinstatedFrom(const Liveness& liveness, TimePoint now) const;
   /** Marks a backend server as reachable. If it was unavailable, it is not
    * trusted for some time, which doubles with each recent loss up to a limit.
    */
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -203,3 +203,32 @@
   plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
   LONGS_EQUAL(1, plane.out.resets.size());
 }
+
+/** The list shows that a lost backend server has started again. */
+TEST(ResetGuard, NewInstanceOfALostServerKeepsItsFlows) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  plane.OfferVmList({{opened.backend.value, "desk", "a", 2}});
+  // Another balancer has placed this flow at the new instance.
+  CHECK(
+      plane.SendData(FakePacketPlane::KeyOfCaller(2), opened.tag, 101, 1000, 50)
+          .type == PacketActionType::kForward);
+}
+
+TEST(ResetGuard, HealthCheckOfTheInstanceBeforeIsNoProof) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.OfferVmList({{opened.backend.value, "desk", "a", 2}});
+  // Another balancer has placed this flow at the new instance.
+  const FlowKey later_key = FakePacketPlane::KeyOfCaller(2);
+  plane.SendData(later_key, opened.tag, 101, 1000, 0);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  CHECK(plane.SendData(later_key, opened.tag, 101, 1000, 50).type ==
+        PacketActionType::kForward);
+}
