A flow that its backend server still answers is not reset

A caller that has just acknowledged a new answer shows that the server serves the flow, whatever this balancer's health check says.

FlowWithNewAnswersOfALostServerIsNotReset and KeptFlowsThatAreAnsweredSurviveASilentCheck failed before (reset instead of forward; 1 reset instead of 0).

--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -304,20 +304,23 @@
     return OnRemovedRoute(context, packet, *record);
   if (!packet.closes)
     CountFlow(*record, *member);
-  this->UpdateSequence(context, packet, *record, *member);
+  const bool is_answered =
+      this->UpdateSequence(context, packet, *record, *member);
   if (member->liveness.reachability == Reachability::kUnreachable &&
-      !context.backends.IsIsolated())
+      !is_answered && !context.backends.IsIsolated())
     return ResetUnreachable(context, packet, *record);
   if (packet.closes || packet.resets)
     UncountFlow(*record, context.backends);
   return ForwardTo(*member);
 }
 
-void FlowShard::UpdateSequence(const PacketContext& context,
+bool FlowShard::UpdateSequence(const PacketContext& context,
                                const OpaquePacket& packet,
                                FlowRecord& record,
                                PoolMember& member) {
-  if (IsAfter(packet.acknowledged_or_retransmission, record.acknowledged)) {
+  const bool is_answered =
+      IsAfter(packet.acknowledged_or_retransmission, record.acknowledged);
+  if (is_answered) {
     record.acknowledged = packet.acknowledged_or_retransmission;
     context.backends.OnAlive(member, context.now, context.out);
     if (record.IsWaiting())
@@ -325,7 +328,7 @@
     ClearAnswerDeadline(record, member);
   }
   if (packet.length == 0)
-    return;
+    return is_answered;
   const uint32_t end = packet.sequence + packet.length;
   if (IsAfter(end, record.next_sequence)) {
     record.next_sequence = end;
@@ -337,6 +340,7 @@
                                      context.now - kRecentAnswerAge,
                                      context.now, context.out);
   }
+  return is_answered;
 }
 
 void FlowShard::ReportLateAnswers(BackendPool& backends,
--- a/src/packet/flow_shard_base.h
+++ b/src/packet/flow_shard_base.h
@@ -102,8 +102,9 @@
   PacketAction OnLaterPacket(const PacketContext& context,
                              const OpaquePacket& packet);
   /** Updates the flow's sequence numbers, and detects from them answers and
-   * retransmitted data. */
-  void UpdateSequence(const PacketContext& context,
+   * retransmitted data.
+   * @return Whether the packet acknowledges a new answer. */
+  bool UpdateSequence(const PacketContext& context,
                       const OpaquePacket& packet,
                       FlowRecord& record,
                       PoolMember& member);
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -277,7 +277,9 @@
                                  this->last_stall_at >= liveness.suspected_at;
   if (IsUnavailable(*member)) {
     liveness.next_check_at = now + this->limits.recheck_interval;
-    return liveness.flows_kept && !stalled_meanwhile &&
+    const bool serves_flows =
+        liveness.last_alive_at + this->limits.recheck_interval > now;
+    return liveness.flows_kept && !serves_flows && !stalled_meanwhile &&
            this->LosesFlows(*member, result, now, out);
   }
   if (liveness.reachability == Reachability::kReachable)
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -232,3 +232,37 @@
   CHECK(plane.SendData(later_key, opened.tag, 101, 1000, 50).type ==
         PacketActionType::kForward);
 }
+
+/** Only this balancer does not reach the backend server, which answers the
+ * caller directly. */
+TEST(ResetGuard, FlowWithNewAnswersOfALostServerIsNotReset) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  const FlowKey other_key = FakePacketPlane::KeyOfCaller(2);
+  plane.SendData(other_key, opened.tag, 101, 1000, 0);
+  plane.RunFor(Milliseconds(60));
+  CHECK(plane.SendData(other_key, opened.tag, 101, 1600, 0).type ==
+        PacketActionType::kForward);
+  plane.RunFor(Milliseconds(60));
+  CHECK(plane.SendData(other_key, opened.tag, 101, 1600, 50).type ==
+        PacketActionType::kReset);
+}
+
+/** The listener of a backend server that leaves is closed, and its VM drops
+ * connections, but it still answers its flows. */
+TEST(ResetGuard, KeptFlowsThatAreAnsweredSurviveASilentCheck) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = OpenUnansweredFlow(plane, key);
+  plane.OfferVmList({{3 - opened.backend.value}});
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  plane.RunFor(Milliseconds(700));
+  plane.SendData(key, opened.tag, 151, 1600, 0);
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  LONGS_EQUAL(0, plane.out.resets.size());
+}
