The end of a server that stops raises no suspicion of others

A server that stops refuses connections and then falls silent. Since its flows are kept while it refuses, the silence counted as a loss: up to 32 servers of its data centre were checked, and peers were told.

Change: a server that leaves or has left the list is given up quietly. A refusal while this balancer is isolated keeps the flows too; before, it marked them as lost without a reset, and they were never looked at again.

--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -230,8 +230,8 @@
         this->pool.WithLock([&](BackendPool& backends) {
           PoolMember* const member = backends.Find(vm);
           // The lock was released since the check ended, so the backend server
-          // may have been removed.
-          if (member == nullptr)
+          // may have been removed. The end of one that stops is no news.
+          if (member == nullptr || MayBeStopping(*member))
             return Incarnation{};
           member->liveness.reported_at = now;
           return member->incarnation;
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -190,7 +190,6 @@
                                 const char* reason,
                                 TimePoint now,
                                 PacketOutput& out) {
-  member.liveness.flows_kept = false;
   if (IsUnavailable(member))
     member.liveness.trusted_from = this->ReinstatedFrom(member.liveness, now);
   this->SetReachability(member, Reachability::kReachable, reason, out);
@@ -309,7 +308,8 @@
     liveness.flows_kept = false;
     this->SetReachability(member, Reachability::kUnreachable, "check_silent",
                           out);
-    this->SuspectDataCentre(member, now, out);
+    if (!MayBeStopping(member))
+      this->SuspectDataCentre(member, now, out);
     return true;
   }
   if (liveness.reachability != Reachability::kRefusing)
@@ -317,11 +317,14 @@
                           out);
   // A stopping process closes its listener first and then finishes its
   // requests, so only a server that is known not to stop has crashed.
-  const bool may_be_stopping = member.leaving || member.delisted_at != kNever;
-  const bool crashed = !may_be_stopping && this->guard.DocumentsShowStops(now);
+  const bool may_be_stopping = MayBeStopping(member);
+  const bool crashed = !may_be_stopping && !this->isolated &&
+                       this->guard.DocumentsShowStops(now);
   if (!crashed && !liveness.flows_kept)
     this->LogReachability(member, Severity::kInfo, "flows_kept",
-                          may_be_stopping ? "leaving" : "documents_behind",
+                          may_be_stopping  ? "leaving"
+                          : this->isolated ? "isolated"
+                                           : "documents_behind",
                           out);
   liveness.flows_kept = !crashed;
   return crashed;
@@ -348,6 +351,8 @@
                                   const char* reason,
                                   PacketOutput& out) {
   member.liveness.reachability = reachability;
+  if (reachability == Reachability::kReachable)
+    member.liveness.flows_kept = false;
   LogReachability(member,
                   IsUnavailable(member) ? Severity::kWarning : Severity::kInfo,
                   ToString(reachability), reason, out);
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -135,6 +135,12 @@
   bool operator==(const PoolMember&) const = default;
 };
 
+/** @return Whether the list of VMs says that the backend server is stopping or
+ * gone. */
+inline bool MayBeStopping(const PoolMember& member) {
+  return member.leaving || member.delisted_at != kNever;
+}
+
 /** @return Whether the backend server is unreachable or refusing. */
 inline bool IsUnavailable(const PoolMember& member) {
   return member.liveness.reachability == Reachability::kUnreachable ||
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -266,3 +266,24 @@
   plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
   LONGS_EQUAL(0, plane.out.resets.size());
 }
+
+/** A release stops many backend servers; those that stay are not to be checked
+ * for each of them. */
+TEST(ResetGuard, ServerThatHasLeftRaisesNoSuspicionOfOthers) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  for (uint32_t caller = 10; caller < 20; ++caller)
+    plane.EstablishFlow(FakePacketPlane::KeyOfCaller(caller));
+  IntroducePeer(plane);
+  const PacketAction opened =
+      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
+  plane.OfferVmList({{3 - opened.backend.value}});
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  plane.RunFor(Milliseconds(700));
+  plane.out.Clear();
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
+  CHECK(!plane.out.resets.empty());
+  CHECK(plane.out.checks.empty());
+  CHECK(plane.out.common.datagrams.empty());
+}
