--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -116,7 +116,7 @@
     }
     this->ReadMembers(*view);
     SelfEvidence evidence = this->token_plane.Control().ReadSelfEvidence(now);
-    evidence.live_peers = this->live_peers;
+    evidence.controls = this->controls;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
   }
@@ -152,7 +152,7 @@
       this->packet_plane.Sync(*view, now);
   }
 
-  /** Updates `local_balancers` and `live_peers` if the membership has changed.
+  /** Updates `local_balancers` and `controls` if the membership has changed.
    */
   void ReadMembers(const BlackboardView& view) {
     if (this->known_members == view.members.value)
@@ -170,7 +170,11 @@
         local.push_back(member.peer);
     }
     this->local_balancers = 1 + static_cast<int>(local.size());
-    this->live_peers = std::make_shared<const std::vector<Endpoint>>(
+    // On a congested or cut link all balancers look dead, so a check without a
+    // control would be no proof.
+    if (all.empty() && this->settings.platform != Endpoint{})
+      all.push_back(this->settings.platform);
+    this->controls = std::make_shared<const std::vector<Endpoint>>(
         local.empty() ? std::move(all) : std::move(local));
   }
 
@@ -192,8 +196,8 @@
   TimePoint next_sync;
   /** Membership that the members below were taken from. */
   std::shared_ptr<const MemberView> known_members;
-  /** Live balancers of this data centre; those of others if it has none. */
-  std::shared_ptr<const std::vector<Endpoint>> live_peers;
+  /** See SelfEvidence::controls. */
+  std::shared_ptr<const std::vector<Endpoint>> controls;
   /** Live balancers in this data centre, including this one. */
   int local_balancers = 1;
 };
--- a/src/member/evidence_type.h
+++ b/src/member/evidence_type.h
@@ -22,9 +22,10 @@
   /** Whether the last confirmation is recent enough for a change to be in force
    * in time. */
   bool documents_fresh = false;
-  /** Live balancers that answer connections, preferably of the own data centre;
-   * null or empty if there is none. */
-  std::shared_ptr<const std::vector<Endpoint>> live_peers;
+  /** Addresses that answer connections if this balancer's link works: live
+   * balancers, preferably of the own data centre, else the platform's store.
+   * Null or empty if there is none. */
+  std::shared_ptr<const std::vector<Endpoint>> controls;
 
   bool operator==(const SelfEvidence&) const = default;
 };
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -242,9 +242,9 @@
 }
 
 Endpoint BackendPool::NextControl() {
-  if (this->live_peers == nullptr || this->live_peers->empty())
+  if (this->controls == nullptr || this->controls->empty())
     return {};
-  return (*this->live_peers)[this->control_index++ % this->live_peers->size()];
+  return (*this->controls)[this->control_index++ % this->controls->size()];
 }
 
 bool BackendPool::OnHealthCheckResult(VmId vm,
@@ -379,7 +379,7 @@
                        const SelfEvidence& evidence,
                        PacketOutput& out) {
   this->guard.Update(evidence, now);
-  this->live_peers = evidence.live_peers;
+  this->controls = evidence.controls;
   if (this->last_tick_at != TimePoint{} &&
       now - this->last_tick_at > kStallThreshold)
     this->last_stall_at = now;
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -228,8 +228,8 @@
   void SuspectDataCentre(const PoolMember& unreachable,
                          TimePoint now,
                          PacketOutput& out);
-  /** @return A live balancer as the control of the next health check;
-   * Endpoint{} if there is none. */
+  /** @return The control of the next health check; Endpoint{} if there is none.
+   */
   Endpoint NextControl();
   /** Changes the reachability and logs it. */
   void SetReachability(PoolMember& member,
@@ -258,8 +258,8 @@
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
   ResetGuard guard;  ///< See Guard.
-  /** Live balancers; null if none is known. */
-  std::shared_ptr<const std::vector<Endpoint>> live_peers;
+  /** See SelfEvidence::controls. */
+  std::shared_ptr<const std::vector<Endpoint>> controls;
   size_t control_index =
       0;  ///< Index of the last control, modulo their number.
   TimePoint next_update_at;  ///< Until then Tick only detects stalls.
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -52,9 +52,9 @@
 struct HealthCheck {
   VmId backend;      ///< Backend server to check.
   Endpoint address;  ///< Address to connect to.
-  /** Live balancer that connections are opened to at the same times, as a
-   * control: if it does not answer either, this balancer's own link may have
-   * failed. Endpoint{} if there is none. */
+  /** Where connections are opened to at the same times, as a control: if it
+   * does not answer either, this balancer's own link may have failed.
+   * Endpoint{} if there is none. */
   Endpoint control;
   int attempts = 1;  ///< Maximum number of connections tried in turn.
   TimePoint due;     ///< The check times out if unanswered at this time.
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -94,6 +94,17 @@
   CHECK(plane.out.checks.front().control == kPeerAddress);
 }
 
+/** On a congested link the peers look dead as well. */
+TEST(ResetGuard, HealthCheckWithoutLiveBalancersHasTheStoreAsControl) {
+  FakePacketPlane plane;
+  plane.settings.platform = *ParseEndpoint("10.0.0.9:1");
+  plane.Restart();
+  plane.OfferConfig(1);
+  plane.OfferVmList({{1}, {2}});
+  OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
+  CHECK(plane.out.checks.front().control == plane.settings.platform);
+}
+
 /** Neither the backend server nor the control answered: the balancer's own link
  * may be congested, as after a large change of the configuration. */
 TEST(ResetGuard, CheckWithoutAnswerOfTheControlResetsNoFlow) {
