A push that overtakes a fetch causes no fetch of the whole document

Since a delta that does not fit is followed by a fetch of the whole text, a fetch that brought nothing because a push of the same version was faster counted as such a delta.

Change: only an answer that was newer than the document when it arrived counts. PushThatOvertakesAFetchCausesNoFetchOfTheWholeText failed before.

--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -167,13 +167,14 @@
                  RandomEngine& random,
                  Output& out) {
     const DocumentStamp before = this->stamp;
+    const bool is_newer = answer.to > before;
     const bool is_delta = answer.from != DocumentStamp{};
-    if (answer.to > this->stamp && !is_delta)
+    if (is_newer && !is_delta)
       this->ApplyPackedText(now, content, peers, random, out);
-    else if (answer.to > this->stamp && this->CanApplyFrom(answer.from))
+    else if (is_newer && this->CanApplyFrom(answer.from))
       this->ApplyPackedDelta(now, content, answer.to, peers, random, out);
     const bool succeeded = this->stamp > before;
-    this->fetch_whole_text = is_delta && !succeeded;
+    this->fetch_whole_text = is_newer && is_delta && !succeeded;
     this->plan.OnEnded(succeeded, now, random);
   }
 
--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -130,6 +130,33 @@
   CHECK(*first.Current() == *second.Current());
 }
 
+/** A release changes the list many times a second, and whole lists are dear on
+ * slow links. */
+TEST(DocumentFetches, PushThatOvertakesAFetchCausesNoFetchOfTheWholeText) {
+  Store first;
+  Store second;
+  Offer(first, ListOf(10, {{1, 1}}));
+  Offer(second, ListOf(10, {{1, 1}}));
+  out.Clear();
+  Offer(first, ListOf(20, {{1, 2}}));
+  const std::string push = LastPush();
+  const auto answer = first.AnswerFetch(second.Stamp());
+  Push(second, push);
+  const auto header = Decode<DocumentAnswer>(
+      answer->header, DecodeHeader(answer->header).value());
+  second.OnFetched(now, header.value(), *answer->content, {}, random, out);
+  Offer(first, ListOf(30, {{1, 3}}));
+  for (int tick = 0; tick < 100 && out.fetches.empty(); ++tick) {
+    now += Milliseconds(10);
+    second.OnPeerStamp(now, kLocal, first.Stamp(), random);
+    second.Tick(now, random, out);
+  }
+  const std::string& request = out.fetches.at(0).request;
+  const auto fetch =
+      Decode<DocumentFetch>(request, DecodeHeader(request).value());
+  CHECK(fetch.value().have == second.Stamp());
+}
+
 /** The document is too large for datagrams. */
 TEST(DocumentFetches, StartingBalancerFetchesTheWholeDocument) {
   Store first;
