--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -270,10 +270,13 @@
       {"slots", "0"},
       {"slots", "\"3\""},
       {"slots", "-3"},
+      {"slots", "1000001"},
       {"state", "\"asleep\""},
       {"cold_remaining_ms", "\"\""},
+      {"cold_remaining_ms", "3600001"},
       {"seq", ""},
       {"born", "\"now\""},
+      {"born", "9007199254740992"},
       {"born", "1.5"}};
   for (const auto& [field, value] : invalid_fields) {
     const platform::Translation translation = platform::TranslateVmList(
