A list from an older copy of the store is no proof against open flows

After a restore a server that leaves looks live until it writes its entry again. Its refused connections then counted as a crash, open flows were reset and new ones placed there.

Change: a server that was listed as leaving counts as stopping for 3 s after the same instance is listed as live again, and a list from another era of the store starts the 3 s anew for which documents must have been fresh to be a proof. Both are needed: not every balancer has heard of a stop before the restore takes it back.

LeavingServerThatAnOlderCopyListsAsLiveKeepsItsOpenFlows and ListThatWasJustRestoredIsNoProof failed before (a new flow at the leaving server; 1 reset instead of 0).

--- a/src/document/vmlist_type.h
+++ b/src/document/vmlist_type.h
@@ -38,6 +38,11 @@
   bool operator==(const Vm&) const = default;
 };
 
+/** The version of a list read from the platform's store is the store's revision
+ * plus this number for each time that the store was restored from an older
+ * copy, so that a list read after a restore is newer than any read before. */
+inline constexpr uint64_t kVersionsPerEra = 10'000'000'000;
+
 /** The platform's list of VMs. */
 struct VmList {
   ConfigVersion version;
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -231,7 +231,7 @@
           PoolMember* const member = backends.Find(vm);
           // The lock was released since the check ended, so the backend server
           // may have been removed. The end of one that stops is no news.
-          if (member == nullptr || MayBeStopping(*member))
+          if (member == nullptr || MayBeStopping(*member, now))
             return Incarnation{};
           member->liveness.reported_at = now;
           return member->incarnation;
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "document/config_func.h"
 #include "member/member_type.h"
@@ -29,6 +30,10 @@
 /** Time for which a backend server that left the list of VMs is kept, so that
  * its flows go on. */
 constexpr Seconds kDelistedRetention{60};
+/** Time for which a backend server that was listed as leaving counts as
+ * stopping after it is listed as live again: an older copy of the platform's
+ * store lacks its announcement until the server writes it again. */
+constexpr Milliseconds kStopRetention{3000};
 /** Ticks further apart than this mean that this process itself has stalled. A
  * health check that timed out during a stall may have been answered. */
 constexpr Milliseconds kStallThreshold{60};
@@ -79,6 +84,9 @@
                                     const Config& config,
                                     TimePoint now) {
   std::vector<VmId> restarted;
+  const uint64_t list_era = list.version.value / kVersionsPerEra;
+  if (std::exchange(this->era, list_era) != list_era)
+    this->guard.OnHistoryLost(now);
   for (auto& [vm, member] : this->members) {
     if (member.delisted_at == kNever)
       member.delisted_at = now;
@@ -92,8 +100,14 @@
       restarted.push_back(vm.id);
       this->ForgetInstance(member, now);
     }
-    if (member.incarnation != vm.incarnation)
+    if (member.incarnation != vm.incarnation) {
       member.warm_up_ends_at = now + vm.warm_up_left;
+      member.stopping_until = TimePoint{};
+    }
+    if (vm.leaving)
+      member.stopping_until = kNever;
+    else if (member.stopping_until == kNever)
+      member.stopping_until = now + kStopRetention;
     member.tag = TagOf(vm.id);
     member.vm = vm.id;
     member.incarnation = vm.incarnation;
@@ -153,7 +167,7 @@
 }
 
 bool BackendPool::AcceptsFlows(const PoolMember& member, TimePoint now) const {
-  if (member.leaving || member.tag_conflict)
+  if (member.leaving || member.stopping_until > now || member.tag_conflict)
     return false;
   // The list entry of a running backend server can expire while the platform is
   // unreachable; it is restored soon. During this grace period the backend
@@ -308,7 +322,7 @@
     liveness.flows_kept = false;
     this->SetReachability(member, Reachability::kUnreachable, "check_silent",
                           out);
-    if (!MayBeStopping(member))
+    if (!MayBeStopping(member, now))
       this->SuspectDataCentre(member, now, out);
     return true;
   }
@@ -317,7 +331,7 @@
                           out);
   // A stopping process closes its listener first and then finishes its
   // requests, so only a server that is known not to stop has crashed.
-  const bool may_be_stopping = MayBeStopping(member);
+  const bool may_be_stopping = MayBeStopping(member, now);
   const bool crashed = !may_be_stopping && !this->isolated &&
                        this->guard.DocumentsShowStops(now);
   if (!crashed && !liveness.flows_kept)
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -258,6 +258,7 @@
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
   ResetGuard guard;  ///< See Guard.
+  uint64_t era = 0;  ///< Era of the list of VMs; see kVersionsPerEra.
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
   size_t control_index =
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -112,14 +112,17 @@
 
 /** State of one backend server in the packet plane. */
 struct PoolMember {
-  VmId vm;                    ///< VM that the backend server runs on.
-  Incarnation incarnation;    ///< Number of its current instance.
-  FlowTag tag;                ///< Identifies it in packets.
-  Endpoint address;           ///< Address that packets are forwarded to.
-  ServiceId service;          ///< Service that it belongs to.
-  uint64_t data_centre = 0;   ///< Hash of its data centre's name.
-  bool local = false;         ///< It is in this balancer's data centre.
-  bool leaving = false;       ///< It is being drained and gets no new flows.
+  VmId vm;                   ///< VM that the backend server runs on.
+  Incarnation incarnation;   ///< Number of its current instance.
+  FlowTag tag;               ///< Identifies it in packets.
+  Endpoint address;          ///< Address that packets are forwarded to.
+  ServiceId service;         ///< Service that it belongs to.
+  uint64_t data_centre = 0;  ///< Hash of its data centre's name.
+  bool local = false;        ///< It is in this balancer's data centre.
+  bool leaving = false;      ///< It is being drained and gets no new flows.
+  /** kNever while it is listed as leaving, later the end of the time for which
+   * it still counts as stopping. */
+  TimePoint stopping_until;
   bool tag_conflict = false;  ///< An older backend server has the same tag;
                               ///< this one gets no new flows.
   int64_t slots = 1;          ///< Requests that it processes at the same time.
@@ -135,10 +138,11 @@
   bool operator==(const PoolMember&) const = default;
 };
 
-/** @return Whether the list of VMs says that the backend server is stopping or
- * gone. */
-inline bool MayBeStopping(const PoolMember& member) {
-  return member.leaving || member.delisted_at != kNever;
+/** @return Whether the backend server is stopping or gone according to the list
+ * of VMs, or was so according to a recent one. */
+inline bool MayBeStopping(const PoolMember& member, TimePoint now) {
+  return member.leaving || member.stopping_until > now ||
+         member.delisted_at != kNever;
 }
 
 /** @return Whether the backend server is unreachable or refusing. */
--- a/src/packet/reset_guard_base.h
+++ b/src/packet/reset_guard_base.h
@@ -29,6 +29,14 @@
       this->fresh_since = now;
   }
 
+  /** The list of VMs comes from an older copy of the store: entries that were
+   * written since the copy was made are missing until they are written again.
+   */
+  void OnHistoryLost(TimePoint now) {
+    if (this->fresh_since != kNever)
+      this->fresh_since = now;
+  }
+
   /** @return Time since the documents were known to be the newest ones; 0 if
    * they never were. */
   Microseconds DocumentAge(TimePoint now) const {
@@ -73,8 +81,9 @@
   }
 
   TimePoint confirmed_at;  ///< Last time the documents were the newest ones.
-  TimePoint fresh_since = kNever;  ///< Since when the documents have been fresh
-                                   ///< without a gap; kNever if they are not.
+  /** Since when the documents have been fresh, without a gap and without a loss
+   * of history; kNever if they are not. */
+  TimePoint fresh_since = kNever;
 };
 
 }  // namespace cuminvane
--- a/tests/packet_fake.h
+++ b/tests/packet_fake.h
@@ -200,7 +200,7 @@
   PacketOutput out;
   /** Copy of the pool that PoolMemberOf() last took. */
   std::map<VmId, PoolMember> pool_members;
-  int list_version = 0;  ///< Version of the last VM list; 0 if none.
+  uint64_t list_version = 0;  ///< Version of the last VM list; 0 if none.
   /** Whether RunFor confirms that the documents are the newest ones. */
   bool documents_confirmed = true;
 };
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -298,3 +298,50 @@
   CHECK(plane.out.checks.empty());
   CHECK(plane.out.common.datagrams.empty());
 }
+
+/** The store came back from a copy from before the stop was announced. */
+TEST(ResetGuard, LeavingServerThatAnOlderCopyListsAsLiveKeepsItsOpenFlows) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = plane.EstablishFlow(key);
+  plane.OfferVmList({{1, "desk", "a", 1, opened.backend == VmId{1}},
+                     {2, "desk", "a", 1, opened.backend == VmId{2}}});
+  plane.RunFor(Milliseconds(1000));
+  plane.OfferVmList({{1}, {2}});
+  for (uint32_t caller = 10; caller < 20; ++caller)
+    CHECK(
+        plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(caller)).backend !=
+        opened.backend);
+  plane.SendData(key, opened.tag, 101, 1000, 50);
+  plane.RunFor(Milliseconds(120));
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  // The server has not written its entry again: the stop was called off.
+  plane.RunFor(Milliseconds(700));
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kAnswered);
+  plane.RunFor(Milliseconds(6000));
+  bool used = false;
+  for (uint32_t caller = 20; caller < 40; ++caller)
+    used |=
+        plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(caller)).backend ==
+        opened.backend;
+  CHECK(used);
+}
+
+/** This balancer has not heard of the stop before the restore took it back. */
+TEST(ResetGuard, ListThatWasJustRestoredIsNoProof) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const PacketAction opened =
+      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
+  plane.list_version += kVersionsPerEra;
+  plane.OfferVmList({{1}, {2}});
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(0, plane.out.resets.size());
+  plane.RunFor(Milliseconds(4000));
+  plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
+  LONGS_EQUAL(1, plane.out.resets.size());
+}
