--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -34,6 +34,8 @@
 struct ConfigDocument {
   using Value = Config;
   static constexpr DocumentKind kKind = DocumentKind::kConfig;
+  /** Section that has the version and nothing else. */
+  static constexpr const char* kVersionSection = "document";
 
   /** @return The parsed text; it is valid if `problems` is empty. */
   static Value Check(std::string_view text, IniProblems& problems) {
@@ -47,6 +49,8 @@
 struct VmListDocument {
   using Value = VmList;
   static constexpr DocumentKind kKind = DocumentKind::kVmList;
+  /** Section that has the version and nothing else. */
+  static constexpr const char* kVersionSection = "list";
 
   /** @return The parsed text; it is valid if `problems` is empty. */
   static Value Check(std::string_view text, IniProblems& problems) {
@@ -92,6 +96,18 @@
   }
   /** @return The stamp of the active document. */
   const DocumentStamp& Stamp() const { return this->stamp; }
+  /** @return Whether the active document has the content of the text, whatever
+   * its version. */
+  bool HasContent(std::string_view content) const {
+    IniProblems problems;
+    SectionTexts wanted =
+        Canonicalize(ReadIni(ToString(Traits::kKind), content, problems));
+    const auto version = this->sections.find(Traits::kVersionSection);
+    if (!problems.empty() || version == this->sections.end())
+      return false;
+    wanted[version->first] = version->second;
+    return wanted == this->sections;
+  }
 
   /**
    * Activates a document if it is valid and newer.
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -13,6 +13,7 @@
 #include "decision/drop_func.h"
 #include "document/document_base.h"
 #include "member/blackboard_base.h"
+#include "member/decode_func.h"
 #include "member/document_group_func.h"
 #include "member/document_peers_base.h"
 #include "member/evidence_type.h"
@@ -80,6 +81,19 @@
     return result;
   }
 
+  /** @return Stamp of the active document; DocumentStamp{} if there is none. */
+  DocumentStamp ActiveStamp(DocumentKind kind) const {
+    return kind == DocumentKind::kConfig ? this->Versions().config
+                                         : this->Versions().vms;
+  }
+
+  /** @return The result of DocumentStore::HasContent. */
+  bool HasContent(DocumentKind kind, std::string_view text) const {
+    const auto has_content = [&](auto& it) { return it.HasContent(text); };
+    return kind == DocumentKind::kConfig ? this->config.WithLock(has_content)
+                                         : this->vms.WithLock(has_content);
+  }
+
   /** Runs timers: probes, fetches of documents, and the start of serving. */
   void Tick(TimePoint now, RandomEngine& random, Output& out) {
     this->members.WithLock(
@@ -99,36 +113,25 @@
                            RandomEngine& random,
                            Output& out) {
     if (header.type == MessageType::kPing) {
-      const Result<Ping> ping = Decode<Ping>(bytes, header);
-      if (!ping) {
-        ReportDrop(ping.error().code, "peer", out);
+      const auto ping = DecodePeerMessage<Ping>(bytes, header, out);
+      if (!ping)
         return;
-      }
-      this->members.WithLock([&](MemberTable& table) {
-        table.OnPing(now, from, ping.value(), out);
-      });
-      this->OnPeerVersions(now, this->SourceOf(from, ping.value().from),
-                           ping.value().versions,
-                           ping.value().confirmed_age_ms_plus_one, random);
+      this->members.WithLock(
+          [&](MemberTable& table) { table.OnPing(now, from, *ping, out); });
+      this->OnPeerVersions(now, from, *ping, random);
     } else if (header.type == MessageType::kAck) {
-      const Result<Ack> ack = Decode<Ack>(bytes, header);
-      if (!ack) {
-        ReportDrop(ack.error().code, "peer", out);
+      const auto ack = DecodePeerMessage<Ack>(bytes, header, out);
+      if (!ack)
         return;
-      }
       this->members.WithLock(
-          [&](MemberTable& table) { table.OnAck(now, ack.value(), out); });
-      this->OnPeerVersions(now, this->SourceOf(from, ack.value().from),
-                           ack.value().versions,
-                           ack.value().confirmed_age_ms_plus_one, random);
+          [&](MemberTable& table) { table.OnAck(now, *ack, out); });
+      this->OnPeerVersions(now, from, *ack, random);
     } else {
-      const Result<PingRequest> request = Decode<PingRequest>(bytes, header);
-      if (!request) {
-        ReportDrop(request.error().code, "peer", out);
+      const auto request = DecodePeerMessage<PingRequest>(bytes, header, out);
+      if (!request)
         return;
-      }
       this->members.WithLock([&](MemberTable& table) {
-        table.OnPingRequest(now, from, request.value(), out);
+        table.OnPingRequest(now, from, *request, out);
       });
     }
     this->PublishMembers(now);
@@ -140,14 +143,12 @@
                       const DatagramHeader& header,
                       RandomEngine& random,
                       Output& out) {
-    const Result<DocumentPush> push = Decode<DocumentPush>(bytes, header);
-    if (!push) {
-      ReportDrop(push.error().code, "peer", out);
+    const auto push = DecodePeerMessage<DocumentPush>(bytes, header, out);
+    if (!push)
       return;
-    }
     const std::vector<Endpoint> peers = this->DocumentPeerEndpoints();
-    this->WithDocumentStore(push.value().kind, [&](auto& store) {
-      store.OnPush(now, push.value(), peers, random, out);
+    this->WithDocumentStore(push->kind, [&](auto& store) {
+      store.OnPush(now, *push, peers, random, out);
     });
     this->PublishDocuments(now);
   }
@@ -290,12 +291,15 @@
   }
 
   /** Handles the document stamps in a membership message. */
+  template <class Message>
   void OnPeerVersions(TimePoint now,
-                      const DocumentSource& source,
-                      const DocumentVersions& versions,
-                      uint32_t confirmed_age_ms_plus_one,
+                      const Endpoint& from,
+                      const Message& message,
                       RandomEngine& random) {
-    this->ApplyPeerConfirmation(now, versions, confirmed_age_ms_plus_one);
+    const DocumentSource source = this->SourceOf(from, message.from);
+    const DocumentVersions& versions = message.versions;
+    this->ApplyPeerConfirmation(now, versions,
+                                message.confirmed_age_ms_plus_one);
     this->config.WithLock([&](auto& store) {
       store.OnPeerStamp(now, source, versions.config, random);
     });
@@ -318,12 +322,8 @@
   }
 
   DocumentVersions Versions() const {
-    DocumentVersions versions;
-    this->config.WithLock(
-        [&](const auto& store) { versions.config = store.Stamp(); });
-    this->vms.WithLock(
-        [&](const auto& store) { versions.vms = store.Stamp(); });
-    return versions;
+    const auto stamp = [](const auto& store) { return store.Stamp(); };
+    return {this->config.WithLock(stamp), this->vms.WithLock(stamp)};
   }
 
   template <class Function>
@@ -426,11 +426,11 @@
     StartupProgress progress;
     progress.knows_peers =
         !view.members.value->members.empty() || !this->SeedPeers().empty();
-    progress.is_behind = this->config.WithLock([](const auto& store) {
+    const auto is_behind = [](const auto& store) {
       return store.HasNewerPeerDocument();
-    }) || this->vms.WithLock([](const auto& store) {
-      return store.HasNewerPeerDocument();
-    });
+    };
+    progress.is_behind =
+        this->config.WithLock(is_behind) || this->vms.WithLock(is_behind);
     progress.heard_all = this->members.WithLock([](const MemberTable& table) {
       return table.HasHeardFromAllMembers();
     });
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -265,6 +265,12 @@
   hooks.apply_document = [this](DocumentKind kind, const std::string& text) {
     return this->ApplyDocument(kind, text);
   };
+  hooks.active_stamp = [this](DocumentKind kind) {
+    return this->balancer.GetTokenPlane().Control().ActiveStamp(kind);
+  };
+  hooks.has_content = [this](DocumentKind kind, const std::string& text) {
+    return this->balancer.GetTokenPlane().Control().HasContent(kind, text);
+  };
   hooks.confirm_documents = [this](TimePoint at) {
     this->balancer.GetTokenPlane().ConfirmDocuments(at);
   };
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -70,11 +70,17 @@
     this->OnFailure(result.error());
     return;
   }
+  if (!this->items_complete)
+    return;
   const bool has_changes = std::exchange(this->items_changed, false);
   if (has_changes)
-    this->PublishChanges();
-  // The documents must be active before they are reported as up to date.
-  this->hooks.confirm_documents(this->items_current_at);
+    this->TranslateItems();
+  // Both documents are offered, whatever becomes of the first one.
+  const bool config_is_current = this->BringIntoForce(DocumentKind::kConfig, 0);
+  const bool vms_are_current = this->BringIntoForce(
+      DocumentKind::kVmList, platform::VmListVersion(this->position));
+  if (config_is_current && vms_are_current)
+    this->hooks.confirm_documents(this->items_current_at);
   if (has_changes)
     this->Sleep(std::min(this->timing.read_pause,
                          this->timing.in_force_within / kMaxDelayDivisor));
@@ -105,11 +111,6 @@
   // The watch starts at the first page's revision, so it reports changes made
   // while the other pages were read.
   this->items = std::move(new_items);
-  if (this->position.era != first_position->era) {
-    // The lists of the era before are not newer, whatever they contain.
-    this->published_config = {};
-    this->published_vms = {};
-  }
   this->position = *first_position;
   this->items_complete = true;
   this->items_changed = true;
@@ -159,39 +160,54 @@
   this->items_changed = true;
 }
 
-void StoreWatcher::PublishChanges() {
-  const platform::Translation next_config =
-      platform::TranslateConfig(this->items);
-  if (next_config != this->published_config)
-    this->OfferDocument(DocumentKind::kConfig, next_config);
-  this->published_config = next_config;
-  // Many revisions don't change the VM list, so translations are compared with
-  // version 0.
-  const platform::Translation next_vms =
-      platform::TranslateVmList(this->items, 0);
-  if (next_vms != this->published_vms)
-    this->OfferDocument(
-        DocumentKind::kVmList,
-        platform::TranslateVmList(this->items,
-                                  platform::VmListVersion(this->position)));
-  this->published_vms = next_vms;
+void StoreWatcher::TranslateItems() {
+  const auto update = [](TranslatedDocument& document,
+                         platform::Translation translation) {
+    if (translation == document.translation)
+      return;
+    for (const std::string& problem : translation.problems)
+      LogLine(Topic::kInput, Severity::kWarning,
+              "event=item_ignored reason=\"" + problem + "\"");
+    document = {std::move(translation), std::nullopt};
+  };
+  update(this->config, platform::TranslateConfig(this->items));
+  // Many revisions don't change the list of VMs, so it is compared without its
+  // version.
+  update(this->vms, platform::TranslateVmList(this->items, 0));
 }
 
-void StoreWatcher::OfferDocument(DocumentKind kind,
-                                 const platform::Translation& translation) {
-  for (const std::string& problem : translation.problems)
-    LogLine(Topic::kInput, Severity::kWarning,
-            "event=item_ignored reason=\"" + problem + "\"");
-  if (translation.text.empty())
-    return;
-  const Result<void> accepted =
-      this->hooks.apply_document(kind, translation.text);
-  if (!accepted && accepted.error().code != ResultCode::kStaleDocument)
+bool StoreWatcher::BringIntoForce(DocumentKind kind, uint64_t version) {
+  const bool is_config = kind == DocumentKind::kConfig;
+  TranslatedDocument& document = is_config ? this->config : this->vms;
+  if (document.translation.text.empty())
+    return true;
+  const DocumentStamp in_force = this->hooks.active_stamp(kind);
+  const std::optional<Comparison>& last = document.compared;
+  if (last && last->in_force == in_force &&
+      (last->same_content || last->version == version))
+    return last->is_current;
+  if (this->hooks.has_content(kind, document.translation.text)) {
+    document.compared = {version, in_force, true, true};
+    return true;
+  }
+  const Result<void> accepted = this->hooks.apply_document(
+      kind, is_config ? document.translation.text
+                      : platform::TranslateVmList(this->items, version).text);
+  // A document that is refused as stale is older than the one in force, which
+  // another balancer has read later.
+  const bool is_stale =
+      !accepted && accepted.error().code == ResultCode::kStaleDocument;
+  if (!accepted && !is_stale && !last)
     LogConfigLine(Severity::kError,
                   std::string("event=document_refused document=") +
                       ToString(kind) +
                       " code=" + ToString(accepted.error().code) +
                       " problems=\"" + accepted.error().message + "\"");
+  // An accepted document may have been replaced already, so the next call
+  // compares it.
+  if (!accepted)
+    document.compared = {version, in_force, false, is_stale};
+  return accepted.has_value() || is_stale;
 }
 
 void StoreWatcher::OnFailure(const Error& error) {
--- a/src/shell/watcher_base.h
+++ b/src/shell/watcher_base.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/result_type.h"
@@ -24,10 +25,34 @@
   /** Passes a document to the balancer. @return Its error if it is refused. */
   std::function<Result<void>(DocumentKind kind, const std::string& text)>
       apply_document;
-  /** Reports that the documents passed last were up to date at `at`. */
+  /** @return Stamp of the document in force; DocumentStamp{} if none. */
+  std::function<DocumentStamp(DocumentKind kind)> active_stamp;
+  /** @return Whether the document in force has the content of the text,
+   * whatever its version. */
+  std::function<bool(DocumentKind kind, const std::string& text)> has_content;
+  /** Reports that the documents in force were up to date at `at`. */
   std::function<void(TimePoint at)> confirm_documents;
 };
 
+/** Result of comparing a document with the one in force. */
+struct Comparison {
+  uint64_t version = 0;       ///< Version that it would have been offered with.
+  DocumentStamp in_force;     ///< Stamp of the document in force.
+  bool same_content = false;  ///< Whether that one has the same content.
+  bool is_current = false;    ///< Whether that one is as current.
+
+  bool operator==(const Comparison&) const = default;
+};
+
+/** A document translated from the items of the store. */
+struct TranslatedDocument {
+  platform::Translation translation;
+  /** Last comparison with the document in force; no value if there was none. */
+  std::optional<Comparison> compared;
+
+  bool operator==(const TranslatedDocument&) const = default;
+};
+
 /** Reads all items of the store once, then waits for changes. Reads all items
  * again if the store no longer has the history since the last known revision,
  * if it was restored from an older copy, or if its revision went back. */
@@ -50,9 +75,17 @@
   Result<void> ReadAllItems();
   Result<void> WaitForChanges();
   void ApplyChange(const platform::StoreItem& item);
-  void PublishChanges();
-  void OfferDocument(DocumentKind kind,
-                     const platform::Translation& translation);
+  /** Translates `items` into documents. */
+  void TranslateItems();
+  /**
+   * Offers a document to the balancer unless it is in force already. Another
+   * balancer may have brought a document into force that was read from the
+   * store at another time, so what counts is the document in force, not the one
+   * offered last.
+   * @param version Version of the document if it is offered.
+   * @return Whether the document in force is as current as `items`.
+   */
+  bool BringIntoForce(DocumentKind kind, uint64_t version);
   /** @return Whether the answer continues the history that `items` come from.
    * If not, all items are read again. */
   bool ContinuesHistory(const platform::StorePosition& answered);
@@ -70,12 +103,12 @@
                                 ///< makes the next cycle read them all.
   bool items_changed = false;   ///< `items` changed since the last publication.
   TimePoint items_current_at;   ///< Last time `items` were known to be current.
-  bool reachable = true;     ///< Whether the last call to the store succeeded.
-  Milliseconds retry_delay;  ///< Wait after the next failed call; doubles
-                             ///< with each failure.
-  platform::Translation published_config;  ///< Configuration passed last.
-  /** VM list passed last, with version 0 in place of its own. */
-  platform::Translation published_vms;
+  bool reachable = true;      ///< Whether the last call to the store succeeded.
+  Milliseconds retry_delay;   ///< Wait after the next failed call; doubles
+                              ///< with each failure.
+  TranslatedDocument config;  ///< Configuration in `items`.
+  /** List of VMs in `items`, with version 0 in place of its own. */
+  TranslatedDocument vms;
 };
 
 }  // namespace cuminvane
--- a/src/standin/fabric_role.cc
+++ b/src/standin/fabric_role.cc
@@ -202,6 +202,8 @@
   settings.platform_timing.read_pause = kVmListReadPause;
   WatcherHooks hooks;
   hooks.should_watch = [] { return true; };
+  hooks.active_stamp = [](DocumentKind) { return DocumentStamp{}; };
+  hooks.has_content = [](DocumentKind, const std::string&) { return false; };
   hooks.confirm_documents = [](TimePoint) {};
   hooks.apply_document = [&fabric](DocumentKind kind,
                                    const std::string& text) -> Result<void> {
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -245,7 +245,16 @@
                  ? this->list.Offer(ReadClock(), text, {}, this->random, out)
                  : Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
     };
-    hooks.confirm_documents = [](TimePoint) {};
+    hooks.active_stamp = [this](DocumentKind kind) {
+      const std::lock_guard hold(this->mutex);
+      return kind == DocumentKind::kVmList ? this->list.Stamp()
+                                           : DocumentStamp{};
+    };
+    hooks.has_content = [this](DocumentKind kind, const std::string& text) {
+      const std::lock_guard hold(this->mutex);
+      return kind == DocumentKind::kVmList && this->list.HasContent(text);
+    };
+    hooks.confirm_documents = [this](TimePoint) { ++this->confirmations; };
     this->thread = std::thread([this, hooks] {
       StoreWatcher(this->settings, hooks, this->stop).Run();
     });
@@ -259,6 +268,17 @@
   WatchedList(const WatchedList&) = delete;
   WatchedList& operator=(const WatchedList&) = delete;
 
+  /** Offers a list as another balancer's watcher does. */
+  void OfferFromElsewhere(const std::string& text) {
+    const std::lock_guard hold(this->mutex);
+    Output out;
+    CHECK(
+        this->list.Offer(ReadClock(), text, {}, this->random, out).has_value());
+  }
+
+  /** @return How often the documents were confirmed as current. */
+  int Confirmations() const { return this->confirmations; }
+
   /** @return Whether the active list has exactly these backend servers within
    * the time in which a change must be in force.
    * @param leaving Whether each server, by its id, is leaving. */
@@ -288,6 +308,7 @@
   mutable std::mutex mutex;
   DocumentStore<VmListDocument> list;
   RandomEngine random{1};
+  std::atomic<int> confirmations = 0;
   std::atomic<bool> stop = false;
   std::thread thread;
 };
@@ -333,3 +354,32 @@
   const WatchedList watched(store);
   CHECK(watched.Becomes({{2, false}}));
 }
+
+/** Another watcher, which has gone since, read the store while the entry of a
+ * living backend server was missing. */
+TEST(Watcher, ListThatDiffersFromTheStoreDoesNotStayActive) {
+  FakeStore store;
+  store.Put("servers/i-1", Entry("ready"));
+  store.Put("servers/i-2", Entry("ready"));
+  WatchedList watched(store);
+  CHECK(watched.Becomes({{1, false}, {2, false}}));
+  watched.OfferFromElsewhere(
+      platform::TranslateVmList({{"servers/i-1", Entry("ready")}},
+                                platform::VmListVersion({1, 5}))
+          .text);
+  CHECK(watched.Becomes({{1, false}}));
+  store.PutOther(10);
+  CHECK(watched.Becomes({{1, false}, {2, false}}));
+}
+
+TEST(Watcher, InvalidListIsNotConfirmed) {
+  FakeStore store;
+  store.Put("vms", "[list]\nversion = none\n");
+  const WatchedList watched(store);
+  std::this_thread::sleep_for(Milliseconds(300));
+  LONGS_EQUAL(0, watched.Confirmations());
+  store.Put("vms", "[list]\nversion = 7\n");
+  CHECK(watched.Becomes({}));
+  std::this_thread::sleep_for(Milliseconds(300));
+  CHECK(watched.Confirmations() > 0);
+}
