Emulate a stopping server that refuses connections before it ends

A server that stops closes its listener first and goes on serving its open flows. A balancer whose health check is refused in that time takes the refusal as proof of a crash and resets the flows. The emulator never showed it, because the process of a draining server ended and its listener closed at the same moment.

Ruled out: the flow rule itself. It already covers a draining server, since a drain does not set last_disturbed_at.

Change: a draining server refuses health checks and leaves opening packets unanswered in the last 300 ms before its process ends; its open flows are served until then. After that its VM is silent (it used to reset packets). An opening packet that arrives at a closed listener still counts for the drain rule.

The new test StoppingServerThatRefusesConnectionsLosesNoFlow has users that are idle for about 6 s, runs of 250 ms against a target of 150 ms, and a release of 8 servers.

--- a/src/emulate/backend_model.cc
+++ b/src/emulate/backend_model.cc
@@ -42,7 +42,8 @@
   if (packet.opens) {
     if (!this->flows.contains(packet.key))
       this->accepted_flows.push_back({packet.key, now});
-    this->OnOpening(packet, random, out);
+    if (this->listening)
+      this->OnOpening(packet, random, out);
     return;
   }
   const auto known = this->flows.find(packet.key);
--- a/src/emulate/backend_model.h
+++ b/src/emulate/backend_model.h
@@ -38,7 +38,8 @@
   bool operator==(const RunRecord&) const = default;
 };
 
-/** A flow whose opening packet the backend server accepted. */
+/** A flow whose opening packet arrived at the backend server. It counts as
+ * accepted even if the listener is closed. */
 struct AcceptedFlow {
   FlowKey key;
   TimePoint at;  ///< When the opening packet arrived.
@@ -68,6 +69,10 @@
   void SetFailureShare(double share) { this->failure_share = share; }
   /** From now on, closes each flow after its next answer. */
   void BeginDrain() { this->draining = true; }
+  /** From now on, leaves opening packets unanswered; open flows are served. */
+  void CloseListener() { this->listening = false; }
+  /** @return Whether the backend server accepts connections. */
+  bool IsListening() const { return this->listening; }
 
   /** @return Whether the flow is open here. */
   bool HasOpenFlow(const FlowKey& key) const;
@@ -122,6 +127,7 @@
   double slowdown = 1;       ///< Factor on running times; 1 means normal speed.
   double failure_share = 0;  ///< Share of requests that fail, 0 to 1.
   bool draining = false;
+  bool listening = true;          ///< See IsListening.
   std::map<FlowKey, Flow> flows;  ///< Open flows, and flows whose opening reply
                                   ///< isn't acknowledged yet.
   std::deque<AcceptedRequest> waiting;   ///< Queued, in order of arrival.
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -389,9 +389,10 @@
   const bool is_unreachable =
       server.unresponsive || this->IsPartitioned(node.centre, server.centre);
   const HealthCheckResult check_result =
-      is_unreachable            ? HealthCheckResult::kTimedOut
-      : server.model == nullptr ? HealthCheckResult::kRefused
-                                : HealthCheckResult::kAnswered;
+      is_unreachable ? HealthCheckResult::kTimedOut
+      : server.model == nullptr || !server.model->IsListening()
+          ? HealthCheckResult::kRefused
+          : HealthCheckResult::kAnswered;
   const TimePoint done_at =
       is_unreachable
           ? check.due
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -28,7 +28,7 @@
    * - config: balancers open flows as configured and don't return to an older
    *   configuration.
    * - flow: balancers don't reset flows that are open at a healthy backend
-   *   server.
+   *   server. One that drains is healthy until its process ends.
    * - route: a request runs only at services to which it was routed.
    * - doubled: a non-idempotent request runs at most once.
    * - drain: a draining backend server gets no new flows.
@@ -244,6 +244,9 @@
   void CollectRecords(BackendServer& server);
   /** Adds a new backend server in place of one that starts to drain. */
   void ReplaceBackend(BackendServer& server);
+  /** Schedules the stop of a backend server that starts to drain: its listener
+   * closes first, then its process ends and its VM goes silent. */
+  void ScheduleStop(BackendServer& server);
   /** Replaces random backend servers one after the other, spread over the
    * fault's duration. */
   void StartRollingRelease(const FaultPlan& fault);
--- a/src/emulate/world_fault.cc
+++ b/src/emulate/world_fault.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kListEntryLifetime{3600};
 /** Time for which a draining backend server still serves its flows. */
 constexpr Milliseconds kDrainTime{5000};
+/** The listener of a draining backend server closes this long before its
+ * process ends. */
+constexpr Milliseconds kRefusalTime{300};
 /** Time from the start of a balancer's planned stop to the end of its process.
  */
 constexpr Milliseconds kShutdownTime{2500};
@@ -255,8 +258,17 @@
   server.draining_since = this->now;
   server.model->BeginDrain();
   this->PublishList();
+  this->ScheduleStop(server);
+}
+
+void World::ScheduleStop(BackendServer& server) {
+  this->ScheduleAt(this->now + kDrainTime - kRefusalTime, [&server] {
+    if (server.model != nullptr)
+      server.model->CloseListener();
+  });
   this->ScheduleAt(this->now + kDrainTime, [this, &server] {
     this->CollectRecords(server);
+    server.unresponsive = true;
     server.listed = false;
     this->PublishList();
   });
--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -171,6 +171,20 @@
   }
 }
 
+/** A backend server that stops closes its listener 300 ms before its process
+ * ends. Most flows are idle until then, and answers are late, so that health
+ * checks of it are refused while it serves open flows. */
+TEST(Emulated, StoppingServerThatRefusesConnectionsLosesNoFlow) {
+  Experiment experiment = FaultFreeExperiment(Milliseconds(20000));
+  emulate::RequestKind& feed = experiment.request_plans[0].kind;
+  feed.requests_per_s = 20;
+  feed.users = 120;
+  feed.mean_work = Milliseconds(250);
+  experiment.faults = {MakeFault(FaultKind::kRollingRelease, 7000, 4000, 8)};
+  for (experiment.seed = 1; experiment.seed <= 3; ++experiment.seed)
+    STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
+}
+
 TEST(Emulated, PacketLossAloneResetsNoFlow) {
   Experiment experiment = FaultFreeExperiment();
   experiment.loss_share = 0.02;
