Emulate a store that comes back from an older copy

The platform's store may be away for a moment and come back from a copy some seconds old; what was written since is gone until operator and servers write it again. No fault kind of the emulator did that.

Change: the fault kind store_restored. For its duration balancers read nothing and confirm nothing. Then, for 2 s, they read the documents as they were `factor` seconds before the fault began; then the current ones again.

The flow rule and the rule against a return to an older configuration hold at any time; a new test shows that such a return is detected around a restore.

Ruled out: that the restore has no effect on the balancers.

--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -18,7 +18,7 @@
     "balancer_kill", "balancer_stop", "balancer_pause", "power_off",
     "backend_crash", "backend_dark",  "backend_slow",   "backend_fail",
     "release",       "centre_cut",    "list_lapse",     "burst",
-    "route_move",    "route_drop"};
+    "route_move",    "route_drop",    "store_restored"};
 /** Base of the service addresses (198.18.0.0); the kind of request at index i
  * has the address kServiceNet + i + 1. */
 constexpr uint32_t kServiceNet = 0xc6120000;
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -79,6 +79,7 @@
         kCallerNet + (static_cast<uint32_t>(centre) << 16) + 1, this->kinds,
         this->now + kLeadTime);
   }
+  this->RecordSnapshot();
   for (BalancerNode& node : this->nodes)
     this->StartBalancer(node);
 }
--- a/src/emulate/world_fault.cc
+++ b/src/emulate/world_fault.cc
@@ -169,6 +169,9 @@
       });
       break;
     }
+    case FaultKind::kStoreRestored:
+      this->LoseStore(fault);
+      break;
     case FaultKind::kLoadBurst:
       this->load_factor = fault.factor;
       this->ScheduleAt(until, [this] {
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -77,7 +77,7 @@
     KeyRow{"fault", "kind", ValueKind::kChoice, nullptr, 0, 0,
            "balancer_kill|balancer_stop|balancer_pause|power_off|backend_crash|"
            "backend_dark|backend_slow|backend_fail|release|centre_cut|list_"
-           "lapse|burst|route_move|route_drop",
+           "lapse|burst|route_move|route_drop|store_restored",
            "Kind of the fault."},
     KeyRow{"fault", "at_ms", ValueKind::kInteger, nullptr, 0, 3600000, "",
            "Start of the fault, in milliseconds after the start of the load."},
@@ -87,7 +87,7 @@
            "Number of balancers or backend servers that the fault affects."},
     KeyRow{"fault", "factor", ValueKind::kDecimal, "1", 0, 1000, "",
            "Strength of the fault: slowdown factor, share of requests that "
-           "fail, or load factor."},
+           "fail, load factor, or age of the store's copy in seconds."},
     KeyRow{"fault", "service", ValueKind::kWord, "", 0, 0, "",
            "Service of the affected backend servers, or service that a route "
            "is moved to."},
--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -218,6 +218,20 @@
   }
 }
 
+/** The store is away from 9 s on, and from 10.5 s to 12.5 s it has the
+ * documents of 5 s: servers that leave or have gone are live, their
+ * replacements are missing, and a route has not moved. */
+TEST(Emulated, RestoredStoreBreaksNoFlowAndNoConfiguration) {
+  Experiment experiment = FaultFreeExperiment(Milliseconds(24000));
+  FaultPlan restore = MakeFault(FaultKind::kStoreRestored, 9000, 1500);
+  restore.factor = 4;
+  experiment.faults = {MakeFault(FaultKind::kRollingRelease, 5500, 6000, 8),
+                       MakeRouteFault(FaultKind::kRouteMove, 7000, 13000),
+                       restore};
+  for (experiment.seed = 1; experiment.seed <= 3; ++experiment.seed)
+    STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
+}
+
 TEST(Emulated, EachInvariantCheckDetectsItsViolation) {
   STRCMP_EQUAL(
       "flow", RulesViolatedWith([](const ModelPacket& packet,
@@ -323,6 +337,26 @@
   STRCMP_EQUAL("config", rules.c_str());
 }
 
+/** A worker returns to the older configuration that a restored store has. */
+TEST(Emulated, ReturnToRestoredConfigurationIsDetected) {
+  VmId old_backend;
+  FaultPlan restore = MakeFault(FaultKind::kStoreRestored, 4000, 1000);
+  restore.factor = 4;
+  const std::string rules = RulesViolatedWith(
+      [&old_backend](const ModelPacket& packet, PacketAction& action,
+                     RandomEngine& random) {
+        if (packet.key.service.ip != kProofsIp || !packet.opens ||
+            action.type != PacketActionType::kForward)
+          return;
+        if (old_backend == VmId{})
+          old_backend = action.backend;
+        if (random() % 10 == 0)
+          action.backend = old_backend;
+      },
+      {MakeRouteFault(FaultKind::kRouteMove, 1000, 11000), restore});
+  STRCMP_EQUAL("config", rules.c_str());
+}
+
 /** Opening packets are reset although the service has a route. */
 TEST(Emulated, RefusalDespiteRouteIsDetected) {
   const std::string rules = RulesViolatedWith(
