Test a stopping server that a restored list calls live

A restored list calls a server live that began to leave after the copy was made. If the server refuses connections because it is about to stop, a balancer takes the refusal as proof of a crash and resets its open flows.

The new test is the release around a restore, with the users of StoppingServerThatRefusesConnectionsLosesNoFlow; both share IdleAndLateExperiment now.

--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -44,6 +44,17 @@
   return experiment;
 }
 
+/** As FaultFreeExperiment, but users of `feed` are idle for about 6 s, and its
+ * answers are late. */
+Experiment IdleAndLateExperiment(Milliseconds length) {
+  Experiment experiment = FaultFreeExperiment(length);
+  emulate::RequestKind& feed = experiment.request_plans[0].kind;
+  feed.requests_per_s = 20;
+  feed.users = 120;
+  feed.mean_work = Milliseconds(250);
+  return experiment;
+}
+
 /**
  * @param kind What fails or changes.
  * @param start_ms Start, in ms after the start of the load.
@@ -75,6 +86,16 @@
   return fault;
 }
 
+/** The store is away from 9 s on, and from 10.5 s to 12.5 s it has the
+ * documents of 5 s: backend servers that leave or have gone are live, their
+ * replacements are missing, and a route has not moved. */
+std::vector<FaultPlan> ReleaseAroundRestore() {
+  FaultPlan restore = MakeFault(FaultKind::kStoreRestored, 9000, 1500);
+  restore.factor = 4;
+  return {MakeFault(FaultKind::kRollingRelease, 5500, 6000, 8),
+          MakeRouteFault(FaultKind::kRouteMove, 7000, 13000), restore};
+}
+
 /** @return Names of the violated rules, sorted and separated by spaces. */
 std::string ViolatedRules(const WorldResult& result) {
   std::set<std::string> rules;
@@ -175,11 +196,7 @@
  * ends. Most flows are idle until then, and answers are late, so that health
  * checks of it are refused while it serves open flows. */
 TEST(Emulated, StoppingServerThatRefusesConnectionsLosesNoFlow) {
-  Experiment experiment = FaultFreeExperiment(Milliseconds(20000));
-  emulate::RequestKind& feed = experiment.request_plans[0].kind;
-  feed.requests_per_s = 20;
-  feed.users = 120;
-  feed.mean_work = Milliseconds(250);
+  Experiment experiment = IdleAndLateExperiment(Milliseconds(20000));
   experiment.faults = {MakeFault(FaultKind::kRollingRelease, 7000, 4000, 8)};
   for (experiment.seed = 1; experiment.seed <= 3; ++experiment.seed)
     STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
@@ -218,16 +235,18 @@
   }
 }
 
-/** The store is away from 9 s on, and from 10.5 s to 12.5 s it has the
- * documents of 5 s: servers that leave or have gone are live, their
- * replacements are missing, and a route has not moved. */
 TEST(Emulated, RestoredStoreBreaksNoFlowAndNoConfiguration) {
   Experiment experiment = FaultFreeExperiment(Milliseconds(24000));
-  FaultPlan restore = MakeFault(FaultKind::kStoreRestored, 9000, 1500);
-  restore.factor = 4;
-  experiment.faults = {MakeFault(FaultKind::kRollingRelease, 5500, 6000, 8),
-                       MakeRouteFault(FaultKind::kRouteMove, 7000, 13000),
-                       restore};
+  experiment.faults = ReleaseAroundRestore();
+  for (experiment.seed = 1; experiment.seed <= 3; ++experiment.seed)
+    STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
+}
+
+/** The restored list calls a backend server live that refuses connections
+ * because it is about to stop. Its open flows are served all the same. */
+TEST(Emulated, StoppingServerThatRestoredListCallsLiveLosesNoFlow) {
+  Experiment experiment = IdleAndLateExperiment(Milliseconds(24000));
+  experiment.faults = ReleaseAroundRestore();
   for (experiment.seed = 1; experiment.seed <= 3; ++experiment.seed)
     STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
 }
