--- a/src/emulate/world_document.cc
+++ b/src/emulate/world_document.cc
@@ -16,8 +16,6 @@
 /** Time from a restore of the store until the operator and the backend servers
  * have written again what was lost. */
 constexpr Milliseconds kRewriteTime{2000};
-/** Difference between the versions of a VM list before and after a restore. */
-constexpr uint64_t kEraStep = 10'000'000'000;
 
 Endpoint BackendAddress(VmId vm) {
   return {kBackendNet + static_cast<uint32_t>(vm.value), kBackendPort};
@@ -100,7 +98,7 @@
 }
 
 uint64_t World::ListVersion() const {
-  return this->store_era * kEraStep + this->list_revision;
+  return this->store_era * kVersionsPerEra + this->list_revision;
 }
 
 void World::NotifyBalancers() {
