Before the first restore the version of a list is the store's revision

Watchers that were not upgraded yet would be refused as stale, and the list would stand still until one of the watchers was upgraded.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -167,7 +167,12 @@
   CHECK(platform::VmListVersion({2, 1}) >
         platform::VmListVersion({1, 9'999'999'999}));
   CHECK(platform::VmListVersion({2, 35}) > platform::VmListVersion({2, 34}));
+}
+
+/** Balancers of the version before, which know no eras, may be in the fleet. */
+TEST(Platform, ListVersionIsTheRevisionBeforeTheFirstRestore) {
   LONGLONGS_EQUAL(217, platform::VmListVersion({0, 217}));
+  LONGLONGS_EQUAL(217, platform::VmListVersion({1, 217}));
 }
 
 TEST(Platform, MalformedStoreAnswersAreRejected) {
