A server that answers its flows is not forgotten when it is not listed

Change: the 60 s count from its last answer. Test: ServerThatAnswersItsFlowsIsNotForgottenWhenItIsNotListed failed before (reset instead of forward after 60 s). 195 of 195 unit tests pass.

--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -27,8 +27,8 @@
 /** Maximum number of doublings of the time until a recovered backend server is
  * trusted again. */
 constexpr int kMaxReinstatementDoublings = 3;
-/** Time for which a backend server that left the list of VMs is kept, so that
- * its flows go on. */
+/** Time for which a backend server that left the list of VMs is kept after its
+ * last answer, so that its flows go on. */
 constexpr Seconds kDelistedRetention{60};
 /** Time for which a backend server that was listed as leaving counts as
  * stopping after it is listed as live again: an older copy of the platform's
@@ -415,8 +415,11 @@
       this->StartHealthCheck(member, FailureSignal::kRecheck, now, out);
   }
   const size_t erased = std::erase_if(this->members, [now](const auto& item) {
-    return item.second.delisted_at != kNever &&
-           item.second.delisted_at + kDelistedRetention <= now;
+    const PoolMember& member = item.second;
+    return member.delisted_at != kNever &&
+           std::max(member.delisted_at, member.liveness.last_alive_at) +
+                   kDelistedRetention <=
+               now;
   });
   if (erased != 0)
     this->IndexTags();
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -345,3 +345,20 @@
   plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
   LONGS_EQUAL(1, plane.out.resets.size());
 }
+
+/** The platform's store rejects the server's entry, but the server lives. */
+TEST(ResetGuard, ServerThatAnswersItsFlowsIsNotForgottenWhenItIsNotListed) {
+  FakePacketPlane plane;
+  plane.OfferVmList({{1}, {2}});
+  plane.RunFor(Milliseconds(5000));
+  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
+  const PacketAction opened = plane.EstablishFlow(key);
+  plane.OfferVmList({{3 - opened.backend.value}});
+  uint32_t acknowledged = 1000;
+  for (int round = 0; round < 14; ++round) {
+    plane.RunFor(Milliseconds(5000));
+    acknowledged += 100;
+    CHECK(plane.SendData(key, opened.tag, 101, acknowledged, 0).type ==
+          PacketActionType::kForward);
+  }
+}
