Soak: restores of the store, lists in force, opens at leaving servers

The soak test could not show either matter: the store never went back, no check looked at the list of VMs or at flows opened at leaving servers, and any reset within drain + 9 s of a planned stop was tolerated.

Change: - The fault restore_store sends SIGUSR1 to the store. - At the end, after at most 3 s more, each balancer's list must be the store's: same backend servers, incarnations and leaving states. The metrics page shows them (cuminvane_backend_listed, _leaving, _incarnation). - A flow opened more than 3 s after the store could show that the server leaves breaks "drain", unless its own balancer, its server or the store was disturbed (3 s after it; 3 + 4 s for the store). - A stand-in server drains 5 s instead of 3 s, so that such opens can occur, and closes the listener for health checks 300 ms before it exits. - A reset after a planned stop is tolerated for 5 s from the end of the process, not from the stop on. - Faults are drawn by their own generator: before, the load drew from the same one, and a seed had other faults in each run. - The demo drains a server with a flow for each request, which opens flows often enough for the check.

--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -134,6 +134,12 @@
         << "cuminvane_backend_answer_ms" << labels << member.answer_ms << "\n"
         << "cuminvane_backend_reachable" << labels
         << (member.liveness.reachability <= Reachability::kSuspect ? 1 : 0)
+        << "\n"
+        << "cuminvane_backend_listed" << labels
+        << (member.delisted_at == kNever ? 1 : 0) << "\n"
+        << "cuminvane_backend_leaving" << labels << (member.leaving ? 1 : 0)
+        << "\n"
+        << "cuminvane_backend_incarnation" << labels << member.incarnation.value
         << "\n";
   }
   metrics.WriteText(*blackboard.config.value, out);
--- a/src/standin/flow_backend_role.cc
+++ b/src/standin/flow_backend_role.cc
@@ -28,7 +28,10 @@
 constexpr Milliseconds kHeartbeatInterval{400};
 /** Time between publishing the state `draining` and exit; flows are served
  * meanwhile. */
-constexpr Milliseconds kDrainDuration{3000};
+constexpr Milliseconds kDrainDuration{5000};
+/** Time before exit at which the listener for health checks is closed; open
+ * flows are served until exit. */
+constexpr Milliseconds kListenerLead{300};
 /** Length of the prefix of each datagram: the number of the target VM, big
  * endian, 0 for any. */
 constexpr size_t kTargetVmBytes = 8;
@@ -80,6 +83,7 @@
   void BeginDrain() {
     this->model.BeginDrain();
     this->drain_ends_at = ReadClock() + kDrainDuration;
+    this->health_checks_end_at = this->drain_ends_at - kListenerLead;
     this->PublishEntry();
   }
 
@@ -106,8 +110,11 @@
          << (this->drain_ends_at == kNever ? "ready" : "draining")
          << "\",\"cold_remaining_ms\":0,\"seq\":" << ++this->heartbeats
          << ",\"born\":" << ToUnixMicroseconds(this->started_at) / 1000 << "}";
-    asio::post(this->entry_writer, [this, text = text.str()] {
+    const bool leaving = this->drain_ends_at != kNever;
+    asio::post(this->entry_writer, [this, leaving, text = text.str()] {
       this->WriteEntry(text);
+      if (leaving && this->leaving_since.load() == kNever)
+        this->leaving_since = ReadClock();
       this->entry_write_pending = false;
     });
   }
@@ -149,6 +156,7 @@
         this->record << "event=altered at=" << ToUnixMicroseconds(ReadClock())
                      << "\n";
       this->model.OnPacket(ReadClock(), packet->model, this->random, this->out);
+      this->RecordOpens(from);
       this->SendPackets(from.port);
     }
   }
@@ -188,6 +196,11 @@
     this->RecordEvents();
     if (now >= this->next_heartbeat_at)
       this->PublishEntry();
+    if (now >= this->health_checks_end_at) {
+      this->health_checks_end_at = kNever;
+      asio::error_code ignored;
+      this->health_check_acceptor.close(ignored);
+    }
     if (now >= this->drain_ends_at) {
       this->entry_writer.join();
       std::error_code ignored;
@@ -198,7 +211,7 @@
     this->WaitForTick();
   }
 
-  /** Appends the runs and opening packets since the last call to the record. */
+  /** Appends the runs since the last call to the record. */
   void RecordEvents() {
     for (; this->recorded_runs < this->model.Runs().size();
          ++this->recorded_runs) {
@@ -207,16 +220,25 @@
                    << " service=" << this->options.service
                    << " at=" << ToUnixMicroseconds(run.at) << "\n";
     }
+    this->record.flush();
+  }
+
+  /** Appends the opening packets since the last call to the record. If the
+   * server is leaving, `since` is the time from which the store could show it.
+   * @param balancer Sender of the packets. */
+  void RecordOpens(const Endpoint& balancer) {
     for (; this->recorded_opens < this->model.AcceptedFlows().size();
          ++this->recorded_opens) {
-      const bool draining = this->drain_ends_at != kNever;
-      this->record << "event=open leaving=" << (draining ? "yes" : "no")
-                   << " at="
+      const TimePoint since = this->leaving_since;
+      this->record << "event=open balancer=" << ToString(balancer)
+                   << " leaving=" << (since == kNever ? "no" : "yes");
+      if (since != kNever)
+        this->record << " since=" << ToUnixMicroseconds(since);
+      this->record << " at="
                    << ToUnixMicroseconds(
                           this->model.AcceptedFlows()[this->recorded_opens].at)
                    << "\n";
     }
-    this->record.flush();
   }
 
   asio::io_context& context;
@@ -234,8 +256,12 @@
   std::vector<emulate::ModelPacket> out;  ///< Packets to send to callers.
   uint16_t last_sender_port = 0;  ///< Port from which the last packet came.
   TimePoint next_heartbeat_at;
-  TimePoint drain_ends_at = kNever;  ///< kNever unless draining.
-  uint64_t heartbeats = 0;           ///< Number of entries published.
+  TimePoint drain_ends_at = kNever;         ///< kNever unless draining.
+  TimePoint health_checks_end_at = kNever;  ///< When to close the listener;
+                                            ///< kNever unless draining.
+  /** When the first entry with the state `draining` was written. */
+  std::atomic<TimePoint> leaving_since = kNever;
+  uint64_t heartbeats = 0;    ///< Number of entries published.
   size_t recorded_runs = 0;   ///< Number of runs already in the record file.
   size_t recorded_opens = 0;  ///< Number of opening packets already in the
                               ///< record file.
--- a/tests/soak/fleet_base.cc
+++ b/tests/soak/fleet_base.cc
@@ -9,9 +9,13 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include "packet/packet_func.h"
+#include "shell/program_func.h"
+#include "shell/status_func.h"
+#include "standin/file_store_base.h"
 
 namespace cuminvane::soak {
 namespace {
@@ -79,6 +83,71 @@
   return status;
 }
 
+/** Incarnation of each backend server by the number of its VM, and whether it
+ * is leaving. */
+using ServerStates = std::map<uint64_t, std::pair<uint64_t, bool>>;
+
+/** @return The backend servers that `other` doesn't have in the same state. */
+std::string FormatDifference(const ServerStates& servers,
+                             const ServerStates& other) {
+  std::ostringstream out;
+  for (const auto& [vm, state] : servers) {
+    const auto same = other.find(vm);
+    if (same == other.end() || same->second != state)
+      out << " vm=" << vm << " born=" << state.first
+          << (state.second ? " leaving" : " live");
+  }
+  return out.str().empty() ? " none of these" : out.str();
+}
+
+/** @return The backend servers whose entries the store keeps. */
+ServerStates ReadEntries(const std::string& directory) {
+  ServerStates servers;
+  const std::string id_prefix = "i-";
+  for (const auto& file : std::filesystem::directory_iterator(directory)) {
+    const std::string name = file.path().filename().string();
+    const Result<std::string> text = ReadFile(file.path().string());
+    if (!name.starts_with(id_prefix) || name.find('.') != std::string::npos ||
+        !text || FileStore::IsExpired(file))
+      continue;
+    Json::Value entry;
+    if (ParseJson(text.value(), entry))
+      servers[std::strtoull(name.c_str() + id_prefix.size(), nullptr, 16)] = {
+          entry["born"].asUInt64(), entry["state"] == "draining"};
+  }
+  return servers;
+}
+
+/** @return The values of a metric of a page by the number of the VM. */
+std::map<uint64_t, uint64_t> ReadMetric(const std::string& page,
+                                        const std::string& name) {
+  std::map<uint64_t, uint64_t> values;
+  const std::string start = name + "{vm=\"";
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    const size_t space = line.rfind(' ');
+    if (line.starts_with(start) && space != std::string::npos)
+      values[std::strtoull(line.c_str() + start.size(), nullptr, 10)] =
+          std::strtoull(line.c_str() + space, nullptr, 10);
+  }
+  return values;
+}
+
+/** @return The backend servers in the list of VMs that the metrics show. */
+ServerStates ReadListed(const std::string& metrics) {
+  ServerStates servers;
+  std::map<uint64_t, uint64_t> incarnations =
+      ReadMetric(metrics, "cuminvane_backend_incarnation");
+  std::map<uint64_t, uint64_t> leaving =
+      ReadMetric(metrics, "cuminvane_backend_leaving");
+  for (const auto& [vm, listed] :
+       ReadMetric(metrics, "cuminvane_backend_listed")) {
+    if (listed != 0)
+      servers[vm] = {incarnations[vm], leaving[vm] != 0};
+  }
+  return servers;
+}
+
 /** Number of values of the third address octet, counted from 1. */
 constexpr uint32_t kAddressOctetCount = 250;
 
@@ -216,7 +285,7 @@
           "--vm", std::to_string(0x1000 + number), "--serves", service,
           "--slots", "3", "--queue", "12", "--dir", this->directory + "/store",
           "--record",
-          this->directory + "/server-" + std::to_string(number) + ".records"},
+          this->directory + "/" + RecordFile(this->backend_servers.size())},
       this->directory + "/server-" + std::to_string(number) + ".log");
   this->backend_servers.back().Start();
 }
@@ -282,4 +351,31 @@
   return versions;
 }
 
+std::vector<std::string> Fleet::ListDifferences() const {
+  std::vector<std::string> differences;
+  for (int index = 0; index < kBalancerCount; ++index) {
+    std::string body;
+    GetPage("http://" + ToString(this->BalancerEndpoint(index, kMetricsPort)) +
+                "/metrics",
+            body);
+    const ServerStates listed = ReadListed(body);
+    const ServerStates stored = ReadEntries(this->directory + "/store/servers");
+    if (listed != stored)
+      differences.push_back("balancer " + std::to_string(index) + " lists" +
+                            FormatDifference(listed, stored) +
+                            ", the store has" +
+                            FormatDifference(stored, listed));
+  }
+  return differences;
+}
+
+std::string Fleet::PacketsAddress(size_t balancer) const {
+  return ToString(
+      this->BalancerEndpoint(static_cast<int>(balancer), kPacketsPort));
+}
+
+std::string Fleet::RecordFile(size_t server) {
+  return "server-" + std::to_string(server + 1) + ".records";
+}
+
 }  // namespace cuminvane::soak
--- a/tests/soak/fleet_base.h
+++ b/tests/soak/fleet_base.h
@@ -52,6 +52,13 @@
   /** @return Active configuration versions of all balancers, from their
    * metrics; contains 0 if a balancer did not answer. */
   std::set<uint64_t> ConfigVersions() const;
+  /** @return One line for each balancer whose list of backend servers differs
+   * from the entries in the store's directory, or that did not answer. */
+  std::vector<std::string> ListDifferences() const;
+  /** @return Address that a balancer, numbered from 0, sends packets from. */
+  std::string PacketsAddress(size_t balancer) const;
+  /** @return Name of the record file of a backend server, numbered from 0. */
+  static std::string RecordFile(size_t server);
   /** @return The service that handles requests of the kind. */
   static std::string ServiceOf(const emulate::RequestKind& kind);
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -5,7 +5,6 @@
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -17,9 +16,13 @@
 #include "shell/clock_func.h"
 #include "shell/program_func.h"
 #include "shell/socket_base.h"
+#include "standin/file_store_base.h"
 #include "standin/flow_codec_func.h"
 #include "standin/record_func.h"
+#include "tests/soak/fault_type.h"
+#include "tests/soak/figure_func.h"
 #include "tests/soak/fleet_base.h"
+#include "tests/soak/open_check_func.h"
 
 namespace cuminvane::soak {
 namespace {
@@ -31,6 +34,8 @@
 /** Longer than a configuration may take to become active after the faults. */
 constexpr Seconds kRecoveryTime{6};
 constexpr Seconds kCheckDuration{3};
+/** Interval of the comparisons of the balancers' lists with the store. */
+constexpr Milliseconds kListPollInterval{100};
 /** A flow may be reset this long after a fault at a backend server. */
 constexpr Seconds kResetTolerance{5};
 /** Minimum share of requests that are answered after recovery. */
@@ -38,57 +43,6 @@
 /** Mean of the random part of the pause between two faults. */
 constexpr Milliseconds kMeanRandomPause{900};
 
-enum class FaultAction : uint8_t {
-  kKillBalancer,
-  kStopBalancer,
-  kPauseBalancer,
-  kKillBackendServer,
-  kStopBackendServer,
-  kPauseBackendServer,
-  kDisturbStorePath,
-  kDisturbAllStorePaths,
-  kRestartStore,
-  kPublishConfig,
-  kReloadSettings,
-};
-constexpr int kActionCount = 11;
-constexpr std::array<const char*, kActionCount> kActionNames = {
-    "kill_balancer", "stop_balancer", "pause_balancer", "kill_server",
-    "stop_server",   "pause_server",  "disturb_store",  "disturb_all_stores",
-    "restart_store", "publish",       "reload"};
-
-/** A fault that the soak injects. */
-struct Fault {
-  FaultAction action = FaultAction::kPublishConfig;
-  size_t balancer = 0;       ///< Index; its path to the store has the same one.
-  size_t server = 0;         ///< Index of the backend server.
-  Milliseconds duration{0};  ///< Time until the fault is undone.
-  ProxyMode mode = ProxyMode::kPass;  ///< For faults of paths to the store.
-};
-
-/** A fault of the demo. */
-struct PlannedFault {
-  Milliseconds at{0};  ///< Time since the load started.
-  Fault fault;
-};
-
-/** Faults of the demo: a balancer is killed, a backend server drains, and a
- * release replaces balancers and backend servers one after another. */
-constexpr std::array kDemoFaults = {
-    PlannedFault{Milliseconds(2000),
-                 {FaultAction::kKillBalancer, 0, 0, Milliseconds(1500)}},
-    PlannedFault{Milliseconds(5000),
-                 {FaultAction::kStopBackendServer, 0, 2, Milliseconds(1000)}},
-    PlannedFault{Milliseconds(7000),
-                 {FaultAction::kPublishConfig, 0, 0, Milliseconds(0)}},
-    PlannedFault{Milliseconds(8000),
-                 {FaultAction::kStopBalancer, 1, 0, Milliseconds(1500)}},
-    PlannedFault{Milliseconds(12000),
-                 {FaultAction::kStopBackendServer, 0, 4, Milliseconds(1000)}},
-    PlannedFault{Milliseconds(13000),
-                 {FaultAction::kStopBalancer, 2, 0, Milliseconds(1500)}}};
-constexpr Seconds kDemoDuration{17};
-
 /** Injects faults, simulates the callers and checks the guarantees. */
 class Soak {
  public:
@@ -98,6 +52,7 @@
        const std::string& bin)
       : seed(seed),
         random(seed),
+        fault_random(seed),
         length(length),
         fleet(context, directory, bin),
         tick(context) {
@@ -137,7 +92,24 @@
   bool RunUntilEnd() {
     this->WaitForTick();
     this->context.run();
-    return this->CheckGuarantees(this->fleet.ConfigVersions());
+    const std::set<uint64_t> versions = this->fleet.ConfigVersions();
+    this->CheckVmLists();
+    return this->CheckGuarantees(versions);
+  }
+
+  /** Compares the balancers' lists of backend servers with the store's. Changes
+   * of the last seconds have their time to get in force; no faults follow. */
+  void CheckVmLists() {
+    const TimePoint due = ReadClock() + kInForceLimit;
+    std::vector<std::string> differences = this->fleet.ListDifferences();
+    while (!differences.empty() && ReadClock() < due) {
+      // The proxies must run.
+      this->context.restart();
+      this->context.run_for(kListPollInterval);
+      differences = this->fleet.ListDifferences();
+    }
+    for (const std::string& difference : differences)
+      this->AddViolation("list", difference);
   }
 
   void WaitForTick() {
@@ -202,20 +174,20 @@
 
   Fault DrawFault() {
     const auto action =
-        static_cast<FaultAction>(DrawIndex(this->random, kActionCount));
-    const Milliseconds duration(500 + DrawIndex(this->random, 3000));
+        static_cast<FaultAction>(DrawIndex(this->fault_random, kActionCount));
+    const Milliseconds duration(500 + DrawIndex(this->fault_random, 3000));
     const size_t balancer =
-        DrawIndex(this->random, this->fleet.Balancers().size());
+        DrawIndex(this->fault_random, this->fleet.Balancers().size());
     const size_t server =
-        DrawIndex(this->random, this->fleet.BackendServers().size());
+        DrawIndex(this->fault_random, this->fleet.BackendServers().size());
     const auto mode = static_cast<ProxyMode>(
-        1 + DrawIndex(this->random, kProxyModeCount - 1));
+        1 + DrawIndex(this->fault_random, kProxyModeCount - 1));
     return {action, balancer, server, duration, mode};
   }
 
   void InjectDrawnFault(TimePoint now) {
     this->next_fault_at =
-        now + Milliseconds(200 + DrawIndex(this->random,
+        now + Milliseconds(200 + DrawIndex(this->fault_random,
                                            2 * static_cast<size_t>(
                                                    kMeanRandomPause.count())));
     this->InjectFault(this->DrawFault(), now);
@@ -230,16 +202,20 @@
               << " balancer=" << fault.balancer << " server=" << fault.server
               << " for_ms=" << fault.duration.count() << "\n";
     const TimePoint until = now + fault.duration;
-    Process& balancer = this->fleet.Balancers()[fault.balancer];
+    const size_t index = fault.balancer;
+    Process& balancer = this->fleet.Balancers()[index];
     Process& server = this->fleet.BackendServers()[fault.server];
     switch (fault.action) {
       case FaultAction::kKillBalancer:
+        this->AddDisturbance(index, {}, until, kInForceLimit);
         this->EndProcess(balancer, SIGKILL, until);
         break;
       case FaultAction::kStopBalancer:
+        this->AddDisturbance(index, {}, until + Seconds(2), kInForceLimit);
         this->EndProcess(balancer, SIGTERM, until + Seconds(2));
         break;
       case FaultAction::kPauseBalancer:
+        this->AddDisturbance(index, {}, until, kInForceLimit);
         this->PauseProcess(balancer, until);
         break;
       case FaultAction::kKillBackendServer:
@@ -247,26 +223,35 @@
         this->EndProcess(server, SIGKILL, until);
         break;
       case FaultAction::kStopBackendServer:
-        // A backend server drains for 3 s before it ends.
-        this->server_fault_until =
-            std::max(this->server_fault_until, until + Seconds(4));
-        this->EndProcess(server, SIGTERM, until + Seconds(4));
+        server.ExpectExit();
+        server.Signal(SIGCONT);
+        server.Signal(SIGTERM);
+        this->StartAfterPlannedStop(server, until + Seconds(4));
         break;
       case FaultAction::kPauseBackendServer:
         this->server_fault_until = std::max(this->server_fault_until, until);
+        this->AddDisturbance({}, fault.server, until, kInForceLimit);
         this->PauseProcess(server, until);
         break;
       case FaultAction::kDisturbStorePath:
-        this->DisturbProxy(*this->fleet.Proxies()[fault.balancer], fault.mode,
-                           until);
+        this->AddDisturbance(index, {}, until, kStoreTolerance);
+        this->DisturbProxy(*this->fleet.Proxies()[index], fault.mode, until);
         break;
       case FaultAction::kDisturbAllStorePaths:
+        this->AddDisturbance({}, {}, until, kStoreTolerance);
         for (const auto& one : this->fleet.Proxies())
           this->DisturbProxy(*one, fault.mode, until);
         break;
       case FaultAction::kRestartStore:
+        this->AddDisturbance({}, {}, until, kStoreTolerance);
         this->EndProcess(this->fleet.Store(), SIGKILL, until);
         break;
+      case FaultAction::kRestoreStore:
+        this->AddDisturbance({}, {},
+                             now + kRestoreOutage + kRestoredCopyLifetime,
+                             kStoreTolerance);
+        this->fleet.Store().Signal(SIGUSR1);
+        break;
       case FaultAction::kPublishConfig:
         this->fleet.Publish();
         break;
@@ -276,6 +261,29 @@
     }
   }
 
+  void AddDisturbance(std::optional<size_t> balancer,
+                      std::optional<size_t> server,
+                      TimePoint until,
+                      Milliseconds tolerance) {
+    this->disturbances.push_back(
+        {balancer, server, ReadClock(), until + tolerance});
+  }
+
+  /** Starts a backend server again after it has ended. From its end its flows
+   * may be reset, but not while it drains.
+   * @param earliest Earliest time of the start. */
+  void StartAfterPlannedStop(Process& server, TimePoint earliest) {
+    const TimePoint now = ReadClock();
+    if (server.IsRunning()) {
+      this->RunAt(now + kTickInterval, [this, &server, earliest] {
+        this->StartAfterPlannedStop(server, earliest);
+      });
+      return;
+    }
+    this->server_fault_until = std::max(this->server_fault_until, now);
+    this->RunAt(std::max(now, earliest), [&server] { server.Start(); });
+  }
+
   void DisturbProxy(Proxy& proxy, ProxyMode mode, TimePoint until) {
     proxy.SetMode(mode);
     this->RunAt(until, [&proxy] { proxy.SetMode(ProxyMode::kPass); });
@@ -340,8 +348,23 @@
     }
   }
 
+  void CheckOpens() {
+    std::vector<std::string> balancers;
+    for (size_t index = 0; index < this->fleet.Balancers().size(); ++index)
+      balancers.push_back(this->fleet.PacketsAddress(index));
+    for (size_t server = 0; server < this->fleet.BackendServers().size();
+         ++server) {
+      const std::vector<RecordLine> records =
+          ReadRecords(this->fleet.Directory(), Fleet::RecordFile(server));
+      for (const std::string& open :
+           FindLateOpens(records, server, balancers, this->disturbances))
+        this->AddViolation("drain", open);
+    }
+  }
+
   bool CheckGuarantees(const std::set<uint64_t>& versions) {
     this->CheckDispatchedRuns();
+    this->CheckOpens();
     if (versions != std::set<uint64_t>{this->fleet.PublishedVersion()})
       this->AddViolation("configuration",
                          "not every balancer has version " +
@@ -388,40 +411,14 @@
               << " unit=promises\nfigure=flows_reset value=" << resets
               << " unit=flows\n";
     for (size_t kind = 0; kind < this->fleet.Kinds().size(); ++kind)
-      this->PrintFiguresOf(kind);
-  }
-
-  void PrintFiguresOf(size_t kind) const {
-    const emulate::RequestKind& work = this->fleet.Kinds()[kind];
-    std::vector<Milliseconds> times;
-    size_t asked = 0;
-    size_t in_time = 0;
-    for (const emulate::CallerModel& caller : this->callers) {
-      for (const emulate::RequestRecord& record : caller.Records()) {
-        if (record.kind != kind ||
-            record.issued_at > this->ends_at - Seconds(1))
-          continue;
-        ++asked;
-        if (record.end != emulate::RequestEnd::kDone)
-          continue;
-        times.push_back(std::chrono::duration_cast<Milliseconds>(
-            record.ended_at - record.issued_at));
-        in_time += times.back() <= work.target ? 1 : 0;
-      }
-    }
-    std::ranges::sort(times);
-    const auto at = [&times](size_t percent) {
-      return times.empty() ? Milliseconds(0)
-                           : times[(times.size() - 1) * percent / 100];
-    };
-    std::cout << "figure=" << work.name << " asked=" << asked
-              << " answered=" << times.size() << " in_time=" << in_time
-              << " p50_ms=" << at(50).count() << " p99_ms=" << at(99).count()
-              << "\n";
+      PrintFiguresOf(this->fleet.Kinds()[kind], kind, this->callers,
+                     this->ends_at - Seconds(1));
   }
 
   uint64_t seed;
   RandomEngine random;
+  /** Draws the faults only, so that a seed has the same faults in each run. */
+  RandomEngine fault_random;
   Seconds length;
   asio::io_context context{1};
   Fleet fleet;
@@ -435,6 +432,7 @@
   TimePoint ends_at;
   TimePoint next_fault_at;
   TimePoint server_fault_until;  ///< End of the latest backend server fault.
+  std::vector<Disturbance> disturbances;
   std::vector<std::string> violations;  ///< Lines to print.
 };
 
