A new version of a configuration comes into force without other changes

The comparison with the document in force left out the version for both documents. For a list that is right, since its version only says when it was read; the version of a configuration is the operator's, and a new one with the same content would not have come into force.

--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -186,7 +186,9 @@
   if (last && last->in_force == in_force &&
       (last->same_content || last->version == version))
     return last->is_current;
-  if (this->hooks.has_content(kind, document.translation.text)) {
+  // The version of a configuration is the operator's; that of a list says only
+  // when it was read.
+  if (!is_config && this->hooks.has_content(kind, document.translation.text)) {
     document.compared = {version, in_force, true, true};
     return true;
   }
@@ -203,10 +205,12 @@
                       ToString(kind) +
                       " code=" + ToString(accepted.error().code) +
                       " problems=\"" + accepted.error().message + "\"");
-  // An accepted document may have been replaced already, so the next call
-  // compares it.
+  // An accepted list may have been replaced already, so the next call compares
+  // it. A configuration is replaced by newer ones only.
   if (!accepted)
     document.compared = {version, in_force, false, is_stale};
+  else if (is_config)
+    document.compared = {version, this->hooks.active_stamp(kind), true, true};
   return accepted.has_value() || is_stale;
 }
 
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -40,6 +40,14 @@
          state + "\"}";
 }
 
+/** @return A configuration that differs from others in its version only. */
+std::string ConfigText(int version) {
+  return "[document]\nversion = " + std::to_string(version) +
+         "\n[service desk]\n[class edits]\nservice = desk\naddresses = "
+         "198.18.0.1:443\nidempotent = yes\nrank = 1\n"
+         "answered_within_ms = 200\n";
+}
+
 /** A store that serves one connection at a time. */
 class FakeStore {
  public:
@@ -229,10 +237,10 @@
   std::thread thread;
 };
 
-/** A watcher whose lists go to the document store of a balancer. */
-class WatchedList {
+/** A watcher whose documents go to the document stores of a balancer. */
+class WatchedDocuments {
  public:
-  explicit WatchedList(const FakeStore& store) {
+  explicit WatchedDocuments(const FakeStore& store) {
     this->settings.platform = store.Address();
     this->settings.platform_timing.in_force_within = Milliseconds(1500);
     this->settings.platform_timing.read_pause = Milliseconds(10);
@@ -243,16 +251,17 @@
       Output out;
       return kind == DocumentKind::kVmList
                  ? this->list.Offer(ReadClock(), text, {}, this->random, out)
-                 : Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
+                 : this->config.Offer(ReadClock(), text, {}, this->random, out);
     };
     hooks.active_stamp = [this](DocumentKind kind) {
       const std::lock_guard hold(this->mutex);
       return kind == DocumentKind::kVmList ? this->list.Stamp()
-                                           : DocumentStamp{};
+                                           : this->config.Stamp();
     };
     hooks.has_content = [this](DocumentKind kind, const std::string& text) {
       const std::lock_guard hold(this->mutex);
-      return kind == DocumentKind::kVmList && this->list.HasContent(text);
+      return kind == DocumentKind::kVmList ? this->list.HasContent(text)
+                                           : this->config.HasContent(text);
     };
     hooks.confirm_documents = [this](TimePoint) { ++this->confirmations; };
     this->thread = std::thread([this, hooks] {
@@ -260,13 +269,13 @@
     });
   }
 
-  ~WatchedList() {
+  ~WatchedDocuments() {
     this->stop = true;
     this->thread.join();
   }
 
-  WatchedList(const WatchedList&) = delete;
-  WatchedList& operator=(const WatchedList&) = delete;
+  WatchedDocuments(const WatchedDocuments&) = delete;
+  WatchedDocuments& operator=(const WatchedDocuments&) = delete;
 
   /** Offers a list as another balancer's watcher does. */
   void OfferFromElsewhere(const std::string& text) {
@@ -283,17 +292,30 @@
    * the time in which a change must be in force.
    * @param leaving Whether each server, by its id, is leaving. */
   bool Becomes(const std::map<uint64_t, bool>& leaving) const {
+    return this->InTime([&] { return this->Listed() == leaving; });
+  }
+
+  /** @return Whether the version of the configuration is active in time. */
+  bool HasConfig(uint64_t version) const {
+    return this->InTime([&] {
+      const std::lock_guard hold(this->mutex);
+      return this->config.Stamp().version.value == version;
+    });
+  }
+
+ private:
+  template <class Condition>
+  bool InTime(Condition condition) const {
     const TimePoint due =
         ReadClock() + this->settings.platform_timing.in_force_within;
     while (ReadClock() < due) {
-      if (this->Listed() == leaving)
+      if (condition())
         return true;
       std::this_thread::sleep_for(kPollInterval);
     }
     return false;
   }
 
- private:
   std::map<uint64_t, bool> Listed() const {
     const std::lock_guard hold(this->mutex);
     std::map<uint64_t, bool> listed;
@@ -307,6 +329,7 @@
   Settings settings;
   mutable std::mutex mutex;
   DocumentStore<VmListDocument> list;
+  DocumentStore<ConfigDocument> config;
   RandomEngine random{1};
   std::atomic<int> confirmations = 0;
   std::atomic<bool> stop = false;
@@ -324,7 +347,7 @@
   const FakeStore::State copy = store.Copy();
   store.PutOther(100);
   store.Put("servers/i-2", Entry("ready"));
-  const WatchedList watched(store);
+  const WatchedDocuments watched(store);
   CHECK(watched.Becomes({{1, false}, {2, false}}));
   store.Restore(copy, 0);
   CHECK(watched.Becomes({{1, false}}));
@@ -338,7 +361,7 @@
   store.Put("servers/i-1", Entry("ready"));
   const FakeStore::State copy = store.Copy();
   store.Put("servers/i-2", Entry("ready"));
-  const WatchedList watched(store);
+  const WatchedDocuments watched(store);
   CHECK(watched.Becomes({{1, false}, {2, false}}));
   store.Restore(copy, 10);
   CHECK(watched.Becomes({{1, false}}));
@@ -351,7 +374,7 @@
   const FakeStore::State copy = store.Copy();
   store.Put("servers/i-1", Entry("ready"));
   store.RestoreAfterNextPage(copy);
-  const WatchedList watched(store);
+  const WatchedDocuments watched(store);
   CHECK(watched.Becomes({{2, false}}));
 }
 
@@ -361,7 +384,7 @@
   FakeStore store;
   store.Put("servers/i-1", Entry("ready"));
   store.Put("servers/i-2", Entry("ready"));
-  WatchedList watched(store);
+  WatchedDocuments watched(store);
   CHECK(watched.Becomes({{1, false}, {2, false}}));
   watched.OfferFromElsewhere(
       platform::TranslateVmList({{"servers/i-1", Entry("ready")}},
@@ -375,7 +398,7 @@
 TEST(Watcher, InvalidListIsNotConfirmed) {
   FakeStore store;
   store.Put("vms", "[list]\nversion = none\n");
-  const WatchedList watched(store);
+  const WatchedDocuments watched(store);
   std::this_thread::sleep_for(Milliseconds(300));
   LONGS_EQUAL(0, watched.Confirmations());
   store.Put("vms", "[list]\nversion = 7\n");
@@ -383,3 +406,12 @@
   std::this_thread::sleep_for(Milliseconds(300));
   CHECK(watched.Confirmations() > 0);
 }
+
+TEST(Watcher, NewVersionOfAConfigurationIsActiveWithoutAnyChange) {
+  FakeStore store;
+  store.Put("config", ConfigText(7));
+  const WatchedDocuments watched(store);
+  CHECK(watched.HasConfig(7));
+  store.Put("config", ConfigText(8));
+  CHECK(watched.HasConfig(8));
+}
