--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -117,8 +117,7 @@
   LONGS_EQUAL(15, member.Stamp().version.value);
 }
 
-/** The store was restored, so the change in version 15 never happened for the
- * other balancer, and no delta of it takes the change back. */
+/** The other balancer has not seen the change in version 15. */
 TEST(DocumentFetches, ChangeTakenBackByARestoreKeepsNoBalancerBehind) {
   Store first;
   Store second;
@@ -130,8 +129,6 @@
   CHECK(*first.Current() == *second.Current());
 }
 
-/** A release changes the list many times a second, and whole lists are dear on
- * slow links. */
 TEST(DocumentFetches, PushThatOvertakesAFetchCausesNoFetchOfTheWholeText) {
   Store first;
   Store second;
--- a/tests/emulate_test.cc
+++ b/tests/emulate_test.cc
@@ -192,9 +192,7 @@
   }
 }
 
-/** A backend server that stops closes its listener 300 ms before its process
- * ends. Most flows are idle until then, and answers are late, so that health
- * checks of it are refused while it serves open flows. */
+/** Late answers cause health checks while the listener is closed already. */
 TEST(Emulated, StoppingServerThatRefusesConnectionsLosesNoFlow) {
   Experiment experiment = IdleAndLateExperiment(Milliseconds(20000));
   experiment.faults = {MakeFault(FaultKind::kRollingRelease, 7000, 4000, 8)};
@@ -242,8 +240,6 @@
     STRCMP_EQUAL("", ViolatedRules(World(experiment, {}).Run()).c_str());
 }
 
-/** The restored list calls a backend server live that refuses connections
- * because it is about to stop. Its open flows are served all the same. */
 TEST(Emulated, StoppingServerThatRestoredListCallsLiveLosesNoFlow) {
   Experiment experiment = IdleAndLateExperiment(Milliseconds(24000));
   experiment.faults = ReleaseAroundRestore();
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -378,8 +378,7 @@
   CHECK(watched.Becomes({{2, false}}));
 }
 
-/** Another watcher, which has gone since, read the store while the entry of a
- * living backend server was missing. */
+/** Another watcher read the store while the entry of a server was missing. */
 TEST(Watcher, ListThatDiffersFromTheStoreDoesNotStayActive) {
   FakeStore store;
   store.Put("servers/i-1", Entry("ready"));
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -155,8 +155,7 @@
         PacketActionType::kForward);
 }
 
-/** A backend server closes its listener before it finishes its last requests.
- */
+/** A backend server closes its listener before its last requests end. */
 TEST(ResetGuard, LeavingServerThatRefusesConnectionsKeepsItsOpenFlows) {
   FakePacketPlane plane;
   plane.OfferVmList({{1}, {2}});
@@ -244,8 +243,7 @@
         PacketActionType::kForward);
 }
 
-/** Only this balancer does not reach the backend server, which answers the
- * caller directly. */
+/** Only this balancer does not reach the backend server. */
 TEST(ResetGuard, FlowWithNewAnswersOfALostServerIsNotReset) {
   FakePacketPlane plane;
   plane.OfferVmList({{1}, {2}});
@@ -262,8 +260,6 @@
         PacketActionType::kReset);
 }
 
-/** The listener of a backend server that leaves is closed, and its VM drops
- * connections, but it still answers its flows. */
 TEST(ResetGuard, KeptFlowsThatAreAnsweredSurviveASilentCheck) {
   FakePacketPlane plane;
   plane.OfferVmList({{1}, {2}});
@@ -278,8 +274,7 @@
   LONGS_EQUAL(0, plane.out.resets.size());
 }
 
-/** A release stops many backend servers; those that stay are not to be checked
- * for each of them. */
+/** In a release the servers that stay are not checked for each that goes. */
 TEST(ResetGuard, ServerThatHasLeftRaisesNoSuspicionOfOthers) {
   FakePacketPlane plane;
   plane.OfferVmList({{1}, {2}});
