--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -45,6 +45,7 @@
   SleepUntil(bound + 6000);
   const std::vector<Request> requests = load.Finish();
   RecordRequests(requests);
+  RecordEndpoints(fleet);
   int early = 0;
   int late = 0;
   int64_t last = 0;
--- a/review/standin/client.h
+++ b/review/standin/client.h
@@ -69,7 +69,8 @@
 
   std::string RequestText(const Flow& flow) const {
     return "GET /item HTTP/1.1\r\nHost: " + IpText(flow.request.route.ip) +
-           "\r\nX-Request-Id: " + flow.request.id + "\r\n\r\n";
+           "\r\nX-Request-Id: " + flow.request.id +
+           "\r\nConnection: close\r\n\r\n";
   }
 
   void SendPacket(uint16_t port,
--- a/review/standin/endpoint.h
+++ b/review/standin/endpoint.h
@@ -92,7 +92,10 @@
     uint32_t client_seq = 0;  ///< Sequence number of the opening packet.
     bool open = false;
     bool ended = false;
-    std::string answer;
+    uint32_t sent = 0;       ///< Sequence number after its last byte.
+    std::string answer;      ///< To the last request.
+    uint32_t answer_at = 0;  ///< Sequence number of the answer.
+    bool closes = false;     ///< It closes the flow after the answer.
   };
 
   int64_t WriteEntry() {
@@ -179,6 +182,7 @@
                                          ++this->flow_count * 100003);
         flow.client_seq = packet.seq;
         flow.next = packet.seq + 1;
+        flow.sent = flow.seq + 1;
         this->taken.push_back({NowMs(), packet.from, packet.to, ""});
       }
       this->Send(packet, kSyn | kAck, flow.seq, flow.next, "");
@@ -194,6 +198,13 @@
       this->flows.erase(found);
       return;
     }
+    if (flow.ended) {
+      if ((packet.flags & kFin) != 0)
+        this->Send(packet, kAck, flow.sent, flow.next, "");
+      else if (!packet.data.empty())
+        this->Send(packet, kRst, packet.ack, 0, "");
+      return;
+    }
     if (!flow.open && packet.ack != flow.seq + 1)
       return;
     flow.open = true;
@@ -210,12 +221,21 @@
       flow.answer = "HTTP/1.1 200 OK\r\nX-Server-Seal: " + this->Key() +
                     "\r\nContent-Length: " + std::to_string(body.size()) +
                     "\r\n\r\n" + body;
+      flow.closes = packet.data.find("Connection: close") != std::string::npos;
+      flow.answer_at = flow.sent;
+      flow.sent +=
+          static_cast<uint32_t>(flow.answer.size()) + (flow.closes ? 1 : 0);
     }
+    // Also answers a copy of the last request.
     if (!flow.answer.empty() && !packet.data.empty())
-      this->Send(packet, kAck | kFin, flow.seq + 1, flow.next, flow.answer);
+      this->Send(packet, kAck | (flow.closes ? kFin : 0), flow.answer_at,
+                 flow.next, flow.answer);
     if ((packet.flags & kFin) != 0) {
       flow.ended = true;
-      this->Send(packet, kAck, flow.seq + 2, flow.next + 1, "");
+      ++flow.next;
+      if (!flow.closes)
+        ++flow.sent;
+      this->Send(packet, kAck | kFin, flow.sent - 1, flow.next, "");
     }
   }
 
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -49,7 +49,7 @@
     std::random_device entropy;
     // A range of loopback addresses of its own.
     this->base =
-        127U << 24 | (16 + entropy() % 200) << 16 | (1 + entropy() % 250) << 8;
+        127U << 24 | (32 + entropy() % 200) << 16 | (1 + entropy() % 250) << 8;
     this->datagram_port = FreePort();
     this->ready_port = FreePort();
     this->peer_port = FreePort();
@@ -95,9 +95,10 @@
     return {this->base + 250, this->datagram_port};
   }
 
-  /** @return Address of a route; `number` is 1 or more. */
+  /** @return Address of a route, in the loopback range too; `number` is 1 or
+   * more. */
   static Address Route(int number) {
-    return {198U << 24 | 18U << 16 | static_cast<uint32_t>(number), 8443};
+    return {127U << 24 | 18U << 16 | static_cast<uint32_t>(number), 8443};
   }
 
   /** A route of the operator's configuration. */
@@ -294,6 +295,31 @@
                  " to " + key.second + ": " + std::to_string(count));
 }
 
+/** Writes what the endpoints took and ran, by route, to the record. */
+inline void RecordEndpoints(Fleet& fleet) {
+  struct Counts {
+    int openings = 0;
+    int requests = 0;
+    int64_t last_opening_at = 0;
+  };
+  for (const auto& endpoint : fleet.endpoints) {
+    std::map<Address, Counts> counts;
+    for (const Taken& taken : endpoint->TakenSoFar()) {
+      Counts& route = counts[taken.route];
+      if (taken.request_id.empty())
+        route.last_opening_at = taken.at;
+      (taken.request_id.empty() ? route.openings : route.requests) += 1;
+    }
+    for (const auto& [route, count] : counts)
+      Record::Line("endpoint " + endpoint->Key() + " of " + endpoint->service +
+                   " took " + std::to_string(count.openings) +
+                   " opening packets and ran " +
+                   std::to_string(count.requests) + " requests for " +
+                   Text(route) + ", the last opening packet at " +
+                   std::to_string(count.last_opening_at) + " ms");
+  }
+}
+
 /** Body of a case. @return Whether the rule held. */
 using CaseBody = bool (*)(const Place&);
 
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -11,8 +11,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -21,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace review {
 
