--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -323,20 +323,18 @@
 /** Body of a case. @return Whether the rule held. */
 using CaseBody = bool (*)(const Place&);
 
-/** main() of a case: arguments are the repository, the record file and a
- * temporary folder; the environment's TROUBLE=0 leaves the disruption out. */
+/** main() of a case: arguments are the repository, the record file, a temporary
+ * folder, and `with` or `without` the disruption. */
 inline int RunCase(int argc, char** argv, CaseBody body) {
-  if (argc != 4) {
-    std::fprintf(stderr, "usage: case REPOSITORY RECORD FOLDER\n");
+  const std::string disruption = argc == 5 ? argv[4] : "";
+  if (disruption != "with" && disruption != "without") {
+    std::fprintf(stderr, "usage: case REPOSITORY RECORD FOLDER with|without\n");
     return kCouldNotRun;
   }
   std::signal(SIGPIPE, SIG_IGN);
   Record::Open(argv[2]);
-  Place place{argv[1], argv[3], true};
-  const char* const trouble = std::getenv("TROUBLE");
-  place.trouble = trouble == nullptr || std::string(trouble) != "0";
-  Record::Line(place.trouble ? "with the disruption"
-                             : "without the disruption");
+  const Place place{argv[1], argv[3], disruption == "with"};
+  Record::Line(disruption + " the disruption");
   const bool held = body(place);
   Record::Line(held ? "the rule held" : "the rule was broken");
   std::fflush(nullptr);
