An INI line may have any length; one long name no longer freezes a document

Cause: a document is refused whole if one line has a problem, and inih has a buffer of 200 characters a line, compiled into Debian's package. This limit is in no schema, so neither the translation of entries nor an operator could know it.

Evidence: each balancer that read the store logged, with every change of any entry, document_refused document=vms problems="vms:6: ... found="249 characters" allowed="lines of at most 199". Ruled out: that the list is not offered again (it is, and refused), and that an older list of a peer wins (the version in force is the one before the entry).

Duplicates are reported by CheckSchema. The schema limits names to 1,024 characters, in documents and entries alike, so that an entry of a megabyte is left out instead of sent to everyone. Reports cut long texts.

Why it works: no text that the schema accepts can fail for its length now.

--- a/src/base/ini_func.cc
+++ b/src/base/ini_func.cc
@@ -1,141 +1,109 @@
-/** @file ini_func.cc INI parsing with the library inih. inih reads the text
- * line by line through a callback, which provides the line number of each
- * entry. */
+/** @file ini_func.cc Parsing of INI text line by line. */
 
 #include "base/ini_func.h"
 
-#include <ini.h>
-
 #include <algorithm>
-#include <map>
 #include <sstream>
 
 namespace cuminvane {
 namespace {
 
-/** State that inih's two callbacks share while one document is parsed. */
-struct ParseState {
-  std::string_view rest;  ///< Text that has not been read yet.
-  IniDocument& document;  ///< Receives the sections and entries.
-  IniProblems& problems;  ///< Receives the problems found.
-  int line = 0;           ///< Number of the current line, from 1.
-  std::map<std::string, int>
-      section_lines;  ///< Line of the first header of each section.
-};
+constexpr std::string_view kWhitespace = " \t\r\n";
+/** Some editors put it at the start of a file. */
+constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
+/** Characters that a text in a problem report is cut to. */
+constexpr size_t kMaxReportedLength = 200;
 
 std::string_view Trim(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t\r\n");
+  const size_t first = text.find_first_not_of(kWhitespace);
   if (first == std::string_view::npos)
     return {};
-  const size_t last = text.find_last_not_of(" \t\r\n");
+  const size_t last = text.find_last_not_of(kWhitespace);
   return text.substr(first, last - first + 1);
 }
 
-void BeginSection(ParseState& state, std::string_view name) {
-  const auto [earlier, is_new] =
-      state.section_lines.emplace(std::string(name), state.line);
-  if (!is_new) {
-    state.problems.push_back({state.document.file, state.line,
-                              std::string(name), "",
-                              "a duplicate section (first on line " +
-                                  std::to_string(earlier->second) + ")",
-                              "each section once"});
+/** @return The value without a comment, which begins with a `;` after white
+ * space. */
+std::string_view StripComment(std::string_view value) {
+  for (size_t at = value.find(';'); at != std::string_view::npos;
+       at = value.find(';', at + 1)) {
+    if (at > 0 && kWhitespace.find(value[at - 1]) != std::string_view::npos)
+      return value.substr(0, at);
   }
-  state.document.sections.push_back({std::string(name), state.line, {}});
+  return value;
 }
 
-/** Begins a section if the line is a header. inih doesn't report sections
- * without entries, so headers are detected here. */
-void DetectSectionHeader(ParseState& state, std::string_view line) {
-  const std::string_view trimmed = Trim(line);
-  if (trimmed.empty() || trimmed.front() != '[')
-    return;
-  const size_t end = trimmed.find(']');
-  if (end != std::string_view::npos)
-    BeginSection(state, trimmed.substr(1, end - 1));
-}
+/** Parses one document. */
+class IniParser {
+ public:
+  IniParser(IniDocument& document, IniProblems& problems)
+      : document(document), problems(problems) {}
 
-/** inih's reader callback: returns the next line with the interface of fgets.
- */
-char* NextLine(char* buffer, int size, void* stream) {
-  auto& state = *static_cast<ParseState*>(stream);
-  if (state.rest.empty())
-    return nullptr;
-  const size_t newline = state.rest.find('\n');
-  const size_t length =
-      newline == std::string_view::npos ? state.rest.size() : newline + 1;
-  std::string line(state.rest.substr(0, length));
-  state.rest.remove_prefix(length);
-  ++state.line;
-  const size_t max_length = static_cast<size_t>(size) - 1;
-  if (line.size() > max_length) {
-    state.problems.push_back(
-        {state.document.file, state.line, "", "",
-         std::to_string(line.size()) + " characters",
-         "lines of at most " + std::to_string(max_length)});
-    line = "\n";
+  /** @param number Line number, from 1. */
+  void ParseLine(int number, std::string_view line) {
+    const std::string_view text = Trim(line);
+    if (text.empty() || text.front() == ';' || text.front() == '#')
+      return;
+    if (text.front() == '[')
+      this->ParseHeader(number, text);
+    else
+      this->ParseEntry(number, text);
   }
-  // inih would append an indented line to the value of the preceding line.
-  // These documents have no multi-line values, so the indentation is removed.
-  line.erase(0, std::min(line.find_first_not_of(" \t"), line.size() - 1));
-  DetectSectionHeader(state, line);
-  line.copy(buffer, line.size());
-  buffer[line.size()] = '\0';
-  return buffer;
-}
 
-/** inih's handler callback: adds one entry to the current section. */
-int OnEntry(void* user,
-            const char* section,
-            const char* name,
-            const char* value) {
-  auto& state = *static_cast<ParseState*>(user);
-  auto& sections = state.document.sections;
-  if (sections.empty()) {
-    state.problems.push_back({state.document.file, state.line, section, name,
-                              "a key before any section",
-                              "keys below a [section]"});
-    return 1;
-  }
-  auto& entries = sections.back().entries;
-  const auto earlier = std::ranges::find(entries, name, &IniEntry::key);
-  if (earlier != entries.end()) {
-    state.problems.push_back({state.document.file, state.line, section, name,
-                              "a duplicate key (first on line " +
-                                  std::to_string(earlier->line) + ")",
-                              "each key once"});
-    return 1;
+ private:
+  void ParseHeader(int number, std::string_view text) {
+    const size_t end = text.find(']');
+    if (end == std::string_view::npos) {
+      this->AddProblem(number, "", text, "[section]");
+      return;
+    }
+    const std::string_view name = text.substr(1, end - 1);
+    this->document.sections.push_back({std::string(name), number, {}});
   }
-  entries.push_back({name, value, state.line});
-  return 1;
-}
 
-/** Reports every line with a syntax error. inih itself reports only the first.
- */
-void ReportSyntaxErrors(const IniDocument& document,
-                        std::string_view text,
-                        IniProblems& problems) {
-  std::istringstream lines{std::string(text)};
-  std::string line;
-  std::string section;
-  for (int number = 1; std::getline(lines, line); ++number) {
-    const std::string_view trimmed = Trim(line);
-    if (trimmed.empty() || trimmed.front() == ';' || trimmed.front() == '#')
-      continue;
-    if (trimmed.front() == '[') {
-      if (trimmed.find(']') == std::string_view::npos) {
-        problems.push_back({document.file, number, section, "",
-                            std::string(trimmed), "[section]"});
-      } else {
-        section = trimmed.substr(1, trimmed.find(']') - 1);
-      }
-      continue;
+  void ParseEntry(int number, std::string_view text) {
+    const size_t separator = text.find_first_of("=:");
+    if (separator == std::string_view::npos) {
+      this->AddProblem(number, "", text, "key = value");
+      return;
     }
-    if (trimmed.find_first_of("=:") == std::string_view::npos) {
-      problems.push_back({document.file, number, section, "",
-                          std::string(trimmed), "key = value"});
+    const std::string_view key = Trim(text.substr(0, separator));
+    if (this->document.sections.empty()) {
+      this->AddProblem(number, key, "a key before any section",
+                       "keys below a [section]");
+      return;
     }
+    const std::string_view value =
+        Trim(StripComment(text.substr(separator + 1)));
+    this->document.sections.back().entries.push_back(
+        {std::string(key), std::string(value), number});
   }
+
+  void AddProblem(int number,
+                  std::string_view key,
+                  std::string_view found,
+                  std::string_view allowed) {
+    const auto& sections = this->document.sections;
+    this->problems.push_back({this->document.file, number,
+                              sections.empty() ? "" : sections.back().name,
+                              std::string(key), std::string(found),
+                              std::string(allowed)});
+  }
+
+  IniDocument& document;
+  IniProblems& problems;
+};
+
+/** @return The text on one line without quotation marks, cut if it is long. */
+std::string FormatFound(std::string_view text) {
+  std::string found(text.substr(0, kMaxReportedLength));
+  const auto is_unprintable = [](unsigned char c) {
+    return c < ' ' || c == '"' || c == 0x7f;
+  };
+  std::ranges::replace_if(found, is_unprintable, '?');
+  if (text.size() > kMaxReportedLength)
+    found += "... (" + std::to_string(text.size()) + " characters)";
+  return found;
 }
 
 }  // namespace
@@ -144,9 +112,14 @@
                     std::string_view text,
                     IniProblems& problems) {
   IniDocument document{file, {}};
-  ParseState state{text, document, problems, 0, {}};
-  ini_parse_stream(NextLine, &state, OnEntry, &state);
-  ReportSyntaxErrors(document, text, problems);
+  IniParser parser(document, problems);
+  if (text.starts_with(kByteOrderMark))
+    text.remove_prefix(kByteOrderMark.size());
+  for (int number = 1; !text.empty(); ++number) {
+    const size_t length = std::min(text.find('\n'), text.size());
+    parser.ParseLine(number, text.substr(0, length));
+    text.remove_prefix(std::min(length + 1, text.size()));
+  }
   return document;
 }
 
@@ -154,9 +127,10 @@
   std::ostringstream out;
   for (const IniProblem& problem : problems) {
     out << problem.file << ":" << problem.line << ": section=["
-        << problem.section
-        << "] key=" << (problem.key.empty() ? "-" : problem.key) << " found=\""
-        << problem.found << "\" allowed=\"" << problem.allowed << "\"\n";
+        << FormatFound(problem.section)
+        << "] key=" << (problem.key.empty() ? "-" : FormatFound(problem.key))
+        << " found=\"" << FormatFound(problem.found) << "\" allowed=\""
+        << problem.allowed << "\"\n";
   }
   return out.str();
 }
--- a/src/base/ini_func.h
+++ b/src/base/ini_func.h
@@ -11,7 +11,9 @@
 namespace cuminvane {
 
 /**
- * Parses INI text. Syntax errors and duplicate sections or keys are problems.
+ * Parses INI text: `[section]` and `key = value` or `key: value` lines of any
+ * length. A line that begins with `;` or `#` is a comment, and so is the rest
+ * of a value from a `;` after white space. Syntax errors are problems.
  * @param file File name for problem reports.
  * @param text Content of the file.
  * @param problems The problems found are appended.
@@ -24,6 +26,7 @@
 /**
  * @param problems Problems of one or more documents.
  * @return One line per problem with file, line, section, key, found, allowed.
+ * Texts from the document are cut to a reportable length.
  */
 std::string FormatProblems(const IniProblems& problems);
 
--- a/src/base/schema_func.cc
+++ b/src/base/schema_func.cc
@@ -8,11 +8,16 @@
 #include <algorithm>
 #include <cmath>
 #include <iomanip>
+#include <map>
 #include <sstream>
 
 namespace cuminvane {
 namespace {
 
+/** Longest word. Names of services and data centres are often DNS names, which
+ * have at most 253 characters. */
+constexpr size_t kMaxWordLength = 1024;
+
 std::vector<std::string> Split(std::string_view text, char separator) {
   std::vector<std::string> parts;
   std::istringstream stream{std::string(text)};
@@ -97,7 +102,8 @@
     case ValueKind::kBoolean:
       return "yes or no";
     case ValueKind::kWord:
-      return "a word of letters, digits, - _ .";
+      return "a word of up to " + std::to_string(kMaxWordLength) +
+             " letters, digits, - _ .";
     case ValueKind::kWordList:
       return "words separated by commas";
     case ValueKind::kEndpoint:
@@ -163,6 +169,13 @@
 
   void ValidateSection(const IniSection& section) {
     const std::string_view kind = SectionKind(section.name);
+    const auto [earlier, is_new] =
+        this->section_lines.emplace(section.name, section.line);
+    if (!is_new)
+      this->AddProblem(section.line, section.name, "",
+                       "a duplicate section (first on line " +
+                           std::to_string(earlier->second) + ")",
+                       "each section once");
     const auto row =
         std::ranges::find(this->schema.sections, kind, &SectionRow::section);
     if (row == this->schema.sections.end()) {
@@ -178,8 +191,17 @@
                        row->named ? "[" + std::string(kind) + " NAME]"
                                   : "[" + std::string(kind) + "]");
     }
-    for (const IniEntry& entry : section.entries)
-      this->ValidateEntry(section, kind, entry);
+    for (const IniEntry& entry : section.entries) {
+      const auto first =
+          std::ranges::find(section.entries, entry.key, &IniEntry::key);
+      if (&*first == &entry)
+        this->ValidateEntry(section, kind, entry);
+      else
+        this->AddProblem(entry.line, section.name, entry.key,
+                         "a duplicate key (first on line " +
+                             std::to_string(first->line) + ")",
+                         "each key once");
+    }
     this->ReportMissingKeys(section, kind);
   }
 
@@ -229,6 +251,8 @@
   const IniDocument& document;
   const Schema& schema;
   IniProblems& problems;
+  /** Line of the first header of each section. */
+  std::map<std::string_view, int> section_lines;
 };
 
 }  // namespace
@@ -236,7 +260,7 @@
 bool IsWord(std::string_view text) {
   constexpr std::string_view kAllowed =
       "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
-  return !text.empty() &&
+  return !text.empty() && text.size() <= kMaxWordLength &&
          text.find_first_not_of(kAllowed) == std::string_view::npos;
 }
 
--- a/src/base/schema_func.h
+++ b/src/base/schema_func.h
@@ -17,13 +17,14 @@
 
 namespace cuminvane {
 
-/** @return Whether the text isn't empty and consists of letters, digits, `-`,
- * `_` and `.`. */
+/** @return Whether the text isn't empty, isn't too long for a name, and
+ * consists of letters, digits, `-`, `_` and `.`. */
 bool IsWord(std::string_view text);
 
 /**
  * Validates a document: reports each section, key and value that the schema
- * doesn't allow and each required section and key that is missing.
+ * doesn't allow, each section and key that occurs twice and each required one
+ * that is missing.
  * @param document The parsed document.
  * @param schema The schema for this type of document.
  * @param problems The problems found are appended.
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -7,7 +7,7 @@
   libasio-dev libjsonrpccpp-dev libjsoncpp-dev libmicrohttpd-dev
   libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev
   libcxxopts-dev libcpputest-dev libmsgpack-cxx-dev libxxhash-dev
-  libsodium-dev librapidcheck-dev libcurl4-openssl-dev libinih-dev
+  libsodium-dev librapidcheck-dev libcurl4-openssl-dev
   libzstd-dev
 )
 
