One invalid item no longer keeps the rest of a document out of force

What callers saw: besides a long name, an entry of another writer with a zero byte in its address or a port with 250 leading zeros froze the list of all balancers, so that servers that had left went on taking flows; and 15 unusual forms of the operators' configuration (a weight of 2^33 or below 0.5, a target of 0 or 10^8 ms, an idle time-out of 50 or 2*10^9 ms, a service that is not listed, a service or route listed twice, one address on two routes, ...) kept a version with all its other routes out of force. After a restart no balancer became ready.

Cause: the translation of the store's items had its own idea of a valid value, the check of documents a stricter one, and a document that the latter does not accept is refused whole. Nobody sees that report: the document is put together from items of many writers.

Ruled out: processes that end by themselves (nesting of 200,000 levels, 1e400, numbers of 900,000 digits; the tests of odd entries and the corpus end none).

Change: the translation looks at JSON types only and builds sections; the check of documents runs on these, and a section with a problem is left out and reported with its item, key, found and allowed text. A route that is invalid now stays as it was in force, with its services, since leaving it out would end its open flows. Targets and idle time-outs take the nearest value that the schema allows; weights keep their ratio. A configuration without routes comes into force, for which a text needs the new key allow_empty. A text in the project's own format is refused whole as before.

Why it works: what is left has passed the very check that every balancer runs, so there is nothing that a second check could refuse.

The fuzz target now fails if a translated text is not valid.

--- a/src/base/endpoint_type.cc
+++ b/src/base/endpoint_type.cc
@@ -11,9 +11,12 @@
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos)
     return std::nullopt;
+  const std::string_view ip = text.substr(0, colon);
+  // Asio reads the text only up to a zero byte.
+  if (ip.find('\0') != std::string_view::npos)
+    return std::nullopt;
   asio::error_code failure;
-  const auto address =
-      asio::ip::make_address_v4(std::string(text.substr(0, colon)), failure);
+  const auto address = asio::ip::make_address_v4(std::string(ip), failure);
   if (failure)
     return std::nullopt;
   const std::string_view digits = text.substr(colon + 1);
--- a/src/base/ini_func.cc
+++ b/src/base/ini_func.cc
@@ -94,18 +94,6 @@
   IniProblems& problems;
 };
 
-/** @return The text on one line without quotation marks, cut if it is long. */
-std::string FormatFound(std::string_view text) {
-  std::string found(text.substr(0, kMaxReportedLength));
-  const auto is_unprintable = [](unsigned char c) {
-    return c < ' ' || c == '"' || c == 0x7f;
-  };
-  std::ranges::replace_if(found, is_unprintable, '?');
-  if (text.size() > kMaxReportedLength)
-    found += "... (" + std::to_string(text.size()) + " characters)";
-  return found;
-}
-
 }  // namespace
 
 IniDocument ReadIni(const std::string& file,
@@ -123,14 +111,39 @@
   return document;
 }
 
+std::string FormatIni(const IniDocument& document) {
+  std::string text;
+  for (const IniSection& section : document.sections) {
+    text.append("[").append(section.name).append("]\n");
+    for (const IniEntry& entry : section.entries)
+      text.append(entry.key).append(" = ").append(entry.value).append("\n");
+  }
+  return text;
+}
+
+std::string FormatOneLine(std::string_view text) {
+  std::string line(text.substr(0, kMaxReportedLength));
+  const auto is_unprintable = [](unsigned char c) {
+    return c < ' ' || c == '"' || c == 0x7f;
+  };
+  std::ranges::replace_if(line, is_unprintable, '?');
+  if (text.size() > kMaxReportedLength)
+    line += "... (" + std::to_string(text.size()) + " characters)";
+  return line;
+}
+
+std::string FormatProblem(const IniProblem& problem) {
+  return "key=" + (problem.key.empty() ? "-" : FormatOneLine(problem.key)) +
+         " found=\"" + FormatOneLine(problem.found) + "\" allowed=\"" +
+         problem.allowed + "\"";
+}
+
 std::string FormatProblems(const IniProblems& problems) {
   std::ostringstream out;
   for (const IniProblem& problem : problems) {
     out << problem.file << ":" << problem.line << ": section=["
-        << FormatFound(problem.section)
-        << "] key=" << (problem.key.empty() ? "-" : FormatFound(problem.key))
-        << " found=\"" << FormatFound(problem.found) << "\" allowed=\""
-        << problem.allowed << "\"\n";
+        << FormatOneLine(problem.section) << "] " << FormatProblem(problem)
+        << "\n";
   }
   return out.str();
 }
--- a/src/base/ini_func.h
+++ b/src/base/ini_func.h
@@ -23,6 +23,17 @@
                     std::string_view text,
                     IniProblems& problems);
 
+/** @return The document as text; ReadIni reads it back if each name, key and
+ * value is one that a schema allows. */
+std::string FormatIni(const IniDocument& document);
+
+/** @return The text without quotation marks and line ends, cut if it is long,
+ * for a log line. */
+std::string FormatOneLine(std::string_view text);
+
+/** @return Key, found and allowed text of a problem. */
+std::string FormatProblem(const IniProblem& problem);
+
 /**
  * @param problems Problems of one or more documents.
  * @return One line per problem with file, line, section, key, found, allowed.
--- a/src/base/schema_func.cc
+++ b/src/base/schema_func.cc
@@ -208,7 +208,7 @@
   void ValidateEntry(const IniSection& section,
                      std::string_view kind,
                      const IniEntry& entry) {
-    const KeyRow* const row = this->FindKey(kind, entry.key);
+    const KeyRow* const row = FindKey(this->schema, kind, entry.key);
     if (row == nullptr) {
       this->AddProblem(entry.line, section.name, entry.key, "an unknown key",
                        this->AllowedKeys(kind));
@@ -231,14 +231,6 @@
     }
   }
 
-  const KeyRow* FindKey(std::string_view kind, std::string_view key) const {
-    for (const KeyRow& row : this->schema.keys) {
-      if (row.section == kind && row.key == key)
-        return &row;
-    }
-    return nullptr;
-  }
-
   std::string AllowedKeys(std::string_view kind) const {
     std::string allowed;
     for (const KeyRow& row : this->schema.keys) {
@@ -264,6 +256,16 @@
          text.find_first_not_of(kAllowed) == std::string_view::npos;
 }
 
+const KeyRow* FindKey(const Schema& schema,
+                      std::string_view section,
+                      std::string_view key) {
+  for (const KeyRow& row : schema.keys) {
+    if (row.section == section && row.key == key)
+      return &row;
+  }
+  return nullptr;
+}
+
 void CheckSchema(const IniDocument& document,
                  const Schema& schema,
                  IniProblems& problems) {
@@ -283,12 +285,10 @@
       std::ranges::find(this->section.entries, key, &IniEntry::key);
   if (entry != this->section.entries.end())
     return entry->value;
-  const std::string_view kind = SectionKind(this->section.name);
-  for (const KeyRow& row : this->schema.keys) {
-    if (row.section == kind && row.key == key && row.default_text != nullptr)
-      return row.default_text;
-  }
-  return "";
+  const KeyRow* const row =
+      FindKey(this->schema, SectionKind(this->section.name), key);
+  return row != nullptr && row->default_text != nullptr ? row->default_text
+                                                        : "";
 }
 
 int64_t SectionReader::Integer(std::string_view key) const {
--- a/src/base/schema_func.h
+++ b/src/base/schema_func.h
@@ -33,6 +33,11 @@
                  const Schema& schema,
                  IniProblems& problems);
 
+/** @return The row of a key, null if there is none. */
+const KeyRow* FindKey(const Schema& schema,
+                      std::string_view section,
+                      std::string_view key);
+
 /** Reads the values of one section. A key that is absent has its default value.
  */
 class SectionReader {
--- a/src/document/config_func.cc
+++ b/src/document/config_func.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "base/ini_func.h"
 #include "base/schema_func.h"
@@ -41,6 +42,8 @@
     std::ranges::sort(this->check.config.classes, {}, &WorkClass::id);
     for (const IniSection& raw : this->document.sections)
       this->CheckReferences(raw);
+    if (!this->allow_empty)
+      this->CheckNotEmpty();
   }
 
  private:
@@ -62,9 +65,11 @@
   void ParseSection(const IniSection& raw) {
     const std::string_view kind = SectionKind(raw.name);
     const SectionReader section(raw, kConfigSchema);
-    if (kind == "document")
+    if (kind == "document") {
       this->check.config.version =
           ConfigVersion{static_cast<uint64_t>(section.Integer("version"))};
+      this->allow_empty = section.Boolean("allow_empty");
+    }
     if (kind == "service")
       this->ParseService(raw, section);
     if (kind == "class")
@@ -184,6 +189,17 @@
           "a data centre of a service: " + this->DataCentreNames());
   }
 
+  void CheckNotEmpty() {
+    for (const auto& [kind, count] :
+         {std::pair("service", this->check.config.services.size()),
+          std::pair("class", this->check.config.classes.size())}) {
+      if (count == 0)
+        this->check.problems.push_back({this->document.file, 0, kind, "",
+                                        "nothing",
+                                        "at least one such section"});
+    }
+  }
+
   /** Checks that a split names known services and has a positive total. */
   void CheckSplit(const IniSection& raw, const SectionReader& section) {
     const WorkClass* const work =
@@ -218,7 +234,8 @@
   }
 
   const IniDocument& document;
-  ConfigCheck& check;  ///< Receives the configuration and the problems.
+  bool allow_empty = false;  ///< document.allow_empty.
+  ConfigCheck& check;        ///< Receives the configuration and the problems.
   std::set<Endpoint> addresses;        ///< Addresses parsed so far.
   std::set<std::string> data_centres;  ///< Data centres of all services.
 };
@@ -226,8 +243,15 @@
 }  // namespace
 
 ConfigCheck CheckConfig(const std::string& file, std::string_view text) {
+  IniProblems problems;
+  ConfigCheck check = CheckConfig(ReadIni(file, text, problems));
+  check.problems.insert(check.problems.begin(), problems.begin(),
+                        problems.end());
+  return check;
+}
+
+ConfigCheck CheckConfig(const IniDocument& document) {
   ConfigCheck check;
-  const IniDocument document = ReadIni(file, text, check.problems);
   CheckSchema(document, kConfigSchema, check.problems);
   ConfigParser(document, check).ParseAll();
   return check;
--- a/src/document/config_func.h
+++ b/src/document/config_func.h
@@ -28,6 +28,8 @@
  * @return The configuration, or all problems at once.
  */
 ConfigCheck CheckConfig(const std::string& file, std::string_view text);
+/** The same for a document that is parsed already. */
+ConfigCheck CheckConfig(const IniDocument& document);
 
 /**
  * @param name Name of a service.
--- a/src/document/document_base.h
+++ b/src/document/document_base.h
@@ -96,6 +96,8 @@
   }
   /** @return The stamp of the active document. */
   const DocumentStamp& Stamp() const { return this->stamp; }
+  /** @return Sections of the active document; none if there is none. */
+  SectionTexts Sections() const { return this->sections; }
   /** @return Whether the active document has the content of the text, whatever
    * its version. */
   bool HasContent(std::string_view content) const {
--- a/src/document/vmlist_func.cc
+++ b/src/document/vmlist_func.cc
@@ -53,8 +53,15 @@
 }  // namespace
 
 VmListCheck CheckVmList(const std::string& file, std::string_view text) {
+  IniProblems problems;
+  VmListCheck check = CheckVmList(ReadIni(file, text, problems));
+  check.problems.insert(check.problems.begin(), problems.begin(),
+                        problems.end());
+  return check;
+}
+
+VmListCheck CheckVmList(const IniDocument& document) {
   VmListCheck check;
-  const IniDocument document = ReadIni(file, text, check.problems);
   CheckSchema(document, kVmListSchema, check.problems);
   for (const IniSection& raw : document.sections) {
     const SectionReader section(raw, kVmListSchema);
@@ -63,7 +70,7 @@
           ConfigVersion{static_cast<uint64_t>(section.Integer("version"))};
     if (SectionKind(raw.name) != "vm")
       continue;
-    CheckVm(file, raw, section, check.problems);
+    CheckVm(document.file, raw, section, check.problems);
     check.list.vms.push_back(ReadVm(section));
   }
   std::ranges::sort(check.list.vms, {}, &Vm::id);
--- a/src/document/vmlist_func.h
+++ b/src/document/vmlist_func.h
@@ -26,6 +26,8 @@
  * @return The list, or all problems at once.
  */
 VmListCheck CheckVmList(const std::string& file, std::string_view text);
+/** The same for a list that is parsed already. */
+VmListCheck CheckVmList(const IniDocument& document);
 
 /** @return The VM, null if it is not in the list. */
 const Vm* FindVm(const VmList& list, VmId id);
--- a/src/member/control_base.h
+++ b/src/member/control_base.h
@@ -87,11 +87,11 @@
                                          : this->Versions().vms;
   }
 
-  /** @return The result of DocumentStore::HasContent. */
-  bool HasContent(DocumentKind kind, std::string_view text) const {
-    const auto has_content = [&](auto& it) { return it.HasContent(text); };
-    return kind == DocumentKind::kConfig ? this->config.WithLock(has_content)
-                                         : this->vms.WithLock(has_content);
+  /** @return The result of `read`, which is called with the DocumentStore. */
+  template <class Read>
+  auto ReadDocument(DocumentKind kind, Read read) const {
+    return kind == DocumentKind::kConfig ? this->config.WithLock(read)
+                                         : this->vms.WithLock(read);
   }
 
   /** Runs timers: probes, fetches of documents, and the start of serving. */
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -269,7 +269,12 @@
     return this->balancer.GetTokenPlane().Control().ActiveStamp(kind);
   };
   hooks.has_content = [this](DocumentKind kind, const std::string& text) {
-    return this->balancer.GetTokenPlane().Control().HasContent(kind, text);
+    return this->balancer.GetTokenPlane().Control().ReadDocument(
+        kind, [&](const auto& document) { return document.HasContent(text); });
+  };
+  hooks.active_sections = [this](DocumentKind kind) {
+    return this->balancer.GetTokenPlane().Control().ReadDocument(
+        kind, [](const auto& document) { return document.Sections(); });
   };
   hooks.confirm_documents = [this](TimePoint at) {
     this->balancer.GetTokenPlane().ConfirmDocuments(at);
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -25,6 +25,8 @@
 /** Interval at which a balancer that does not watch the store checks whether it
  * should. */
 constexpr Milliseconds kIdlePollInterval{100};
+/** Version of lists of VMs that are compared. */
+constexpr uint64_t kComparedVersion = 1;
 
 /** @return The position as key=value pairs. */
 std::string FormatPosition(const platform::StorePosition& position) {
@@ -170,10 +172,12 @@
               "event=item_ignored reason=\"" + problem + "\"");
     document = {std::move(translation), std::nullopt};
   };
-  update(this->config, platform::TranslateConfig(this->items));
-  // Many revisions don't change the list of VMs, so it is compared without its
-  // version.
-  update(this->vms, platform::TranslateVmList(this->items, 0));
+  update(this->config, platform::TranslateConfig(this->items, [this] {
+           return this->hooks.active_sections(DocumentKind::kConfig);
+         }));
+  // Many revisions don't change the list of VMs, so it is compared with the
+  // same version.
+  update(this->vms, platform::TranslateVmList(this->items, kComparedVersion));
 }
 
 bool StoreWatcher::BringIntoForce(DocumentKind kind, uint64_t version) {
--- a/src/shell/watcher_base.h
+++ b/src/shell/watcher_base.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "base/result_type.h"
+#include "document/document_func.h"
 #include "document/document_type.h"
 #include "document/settings_type.h"
 #include "platform/record_func.h"
@@ -30,6 +31,8 @@
   /** @return Whether the document in force has the content of the text,
    * whatever its version. */
   std::function<bool(DocumentKind kind, const std::string& text)> has_content;
+  /** @return Sections of the document in force; none if there is none. */
+  std::function<SectionTexts(DocumentKind kind)> active_sections;
   /** Reports that the documents in force were up to date at `at`. */
   std::function<void(TimePoint at)> confirm_documents;
 };
@@ -107,7 +110,7 @@
   Milliseconds retry_delay;   ///< Wait after the next failed call; doubles
                               ///< with each failure.
   TranslatedDocument config;  ///< Configuration in `items`.
-  /** List of VMs in `items`, with version 0 in place of its own. */
+  /** List of VMs in `items`, with the same version whatever its own. */
   TranslatedDocument vms;
 };
 
--- a/src/table/config_table.h
+++ b/src/table/config_table.h
@@ -17,9 +17,13 @@
 
 inline constexpr std::array kConfigSections = {
     SectionRow{"document", false, true, "Version of the document."},
-    SectionRow{"service", true, true, "A service that callers can use."},
-    SectionRow{"class", true, true,
-               "A class of work of one service, with its targets."},
+    SectionRow{
+        "service", true, false,
+        "A service that callers can use. At least one is required unless "
+        "document.allow_empty is yes."},
+    SectionRow{"class", true, false,
+               "A class of work of one service, with its targets. At least one "
+               "is required unless document.allow_empty is yes."},
     SectionRow{"change", true, false, "A planned drain or stop of VMs."},
     SectionRow{"flows", false, false, "Limits of opaque flows."},
     SectionRow{"token-key", true, false,
@@ -32,6 +36,9 @@
            kMaxExactInteger, "",
            "Must grow with every publication; the highest version seen is "
            "active."},
+    KeyRow{"document", "allow_empty", ValueKind::kBoolean, "no", 0, 0, "",
+           "Whether the document may have no service or no class; it then ends "
+           "the flows of all classes."},
     KeyRow{"service", "addresses", ValueKind::kEndpointList, "", 0, 0, "",
            "Addresses for callers with a token; each address belongs to at "
            "most one service."},
--- a/tests/fuzz/decoders_fuzz.cc
+++ b/tests/fuzz/decoders_fuzz.cc
@@ -3,6 +3,7 @@
  * with corpus_main.cc in place of libFuzzer for the tests. */
 
 #include <cstdint>
+#include <cstdlib>
 #include <span>
 #include <string>
 
@@ -66,14 +67,17 @@
     case 2: {
       const std::string text =
           platform::TranslateConfig({{"op/config", bytes}}).text;
-      if (!text.empty())
-        CheckConfig("fuzz", text);
+      if (!text.empty() && !CheckConfig("fuzz", text).problems.empty())
+        std::abort();  // What is translated must be valid.
       break;
     }
-    case 3:
-      CheckVmList("fuzz",
-                  platform::TranslateVmList({{"servers/i-1", bytes}}, 1).text);
+    case 3: {
+      const std::string text =
+          platform::TranslateVmList({{"servers/i-1", bytes}}, 1).text;
+      if (!CheckVmList("fuzz", text).problems.empty())
+        std::abort();
       break;
+    }
     case 4:
       CheckSettings("fuzz", bytes);
       break;
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -263,6 +263,11 @@
       return kind == DocumentKind::kVmList ? this->list.HasContent(text)
                                            : this->config.HasContent(text);
     };
+    hooks.active_sections = [this](DocumentKind kind) {
+      const std::lock_guard hold(this->mutex);
+      return kind == DocumentKind::kVmList ? this->list.Sections()
+                                           : this->config.Sections();
+    };
     hooks.confirm_documents = [this](TimePoint) { ++this->confirmations; };
     this->thread = std::thread([this, hooks] {
       StoreWatcher(this->settings, hooks, this->stop).Run();
@@ -394,6 +399,22 @@
   CHECK(watched.Becomes({{1, false}, {2, false}}));
 }
 
+/** The list was frozen by an entry that another program had written. */
+TEST(Watcher, ServerThatLeavesAfterAnOddEntryIsListedAsLeaving) {
+  FakeStore store;
+  store.Put("servers/i-1", Entry("ready"));
+  WatchedDocuments watched(store);
+  CHECK(watched.Becomes({{1, false}}));
+  std::string odd = Entry("ready");
+  odd.replace(odd.find("desk"), 4, std::string(2000, 's'));
+  store.Put("servers/i-2", odd);
+  store.Put("servers/i-1", Entry("draining"));
+  CHECK(watched.Becomes({{1, true}}));
+  const int confirmations = watched.Confirmations();
+  std::this_thread::sleep_for(Milliseconds(800));
+  CHECK(watched.Confirmations() > confirmations);
+}
+
 TEST(Watcher, InvalidListIsNotConfirmed) {
   FakeStore store;
   store.Put("vms", "[list]\nversion = none\n");
--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -97,6 +97,52 @@
   return check.list;
 }
 
+std::string Route(const std::string& name,
+                  const std::string& address,
+                  const Fields& changed = {}) {
+  Fields fields = changed;
+  fields.merge(Fields{{"name", Quoted(name)},
+                      {"hostname", Quoted(address)},
+                      {"prefix", "\"/8080/\""},
+                      {"route_type", "\"unsafe\""},
+                      {"timeout_ms", "4000"},
+                      {"target_latency_ms", "250"},
+                      {"priority", "0"},
+                      {"service", "\"desk\""}});
+  return Object(fields);
+}
+
+/** Parts of a configuration that are unlike the others. */
+struct OddParts {
+  std::string route = {};    ///< JSON of a further route; empty if none.
+  std::string service = {};  ///< JSON of the name of a further service.
+  std::string idle_timeout_ms = {};  ///< JSON of the limit; empty if none.
+};
+
+std::string OperatorConfig(const OddParts& odd) {
+  std::string json = R"({"version":7,"routes":[)" + Route("r-1", "198.18.0.1");
+  json += (odd.route.empty() ? "" : "," + odd.route) + "," +
+          Route("r-2", "198.18.0.2") +
+          R"(],"services":[{"name":"desk"},{"name":"proof"})";
+  if (!odd.service.empty())
+    json += R"(,{"name":)" + odd.service + "}";
+  json += R"(],"limits":)" + Object({{"idle_timeout_ms", odd.idle_timeout_ms}});
+  return json + "}";
+}
+
+/** @return The configuration translated from two regular routes and the odd
+ * parts; fails if the check of documents refuses it. */
+Config ConfigWith(const OddParts& odd) {
+  const platform::Translation translation =
+      platform::TranslateConfig({{"op/config", OperatorConfig(odd)}});
+  const ConfigCheck check = CheckConfig("c", translation.text);
+  STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+  LONGS_EQUAL(7, check.config.version.value);
+  CHECK(FindClass(check.config, ClassIdOf("r-1")) != nullptr);
+  CHECK(FindClass(check.config, ClassIdOf("r-2")) != nullptr);
+  return check.config;
+}
+
 }  // namespace
 
 TEST_GROUP(Translation){};
@@ -108,6 +154,31 @@
     ListWith("servers/i-2", Entry({{field, value}}));
 }
 
+/** An address with a zero byte was read up to it. */
+TEST(Translation, EntryWithAZeroByteInItsAddressIsLeftOut) {
+  const std::string address = Quoted("10.0.0.1\\u0000:80");
+  const VmList list = ListWith("servers/i-2", Entry({{"address", address}}));
+  CHECK(FindVm(list, VmId{2}) == nullptr);
+}
+
+/** The report names the item, the field, and what is expected. */
+TEST(Translation, WhatIsLeftOutIsReported) {
+  const platform::Translation list =
+      platform::TranslateVmList({{"servers/i-2", Entry({{"slots", "0"}})}}, 5);
+  STRCMP_EQUAL(
+      "servers/i-2 is left out: key=slots found=\"0\" allowed=\"integer 1 to "
+      "1000000\"",
+      list.problems.front().c_str());
+  const platform::Translation config = platform::TranslateConfig(
+      {{"op/config",
+        OperatorConfig({.route = Route("r-3", "198.18.0.9",
+                                       {{"service", "\"unlisted\""}})})}});
+  LONGS_EQUAL(1, config.problems.size());
+  CHECK_CONTAINS(
+      "route r-3 of op/config is left out: key=service found=\"unlisted\"",
+      config.problems.front());
+}
+
 TEST(Translation, OddKeyOrValueDoesNotKeepTheListOutOfForce) {
   for (const std::string& key :
        {std::string("servers/"), std::string("servers/xyz"),
@@ -136,3 +207,148 @@
       ListWith("servers/i-2", Entry({{"service", Quoted(service)}}));
   CHECK(FindVm(list, VmId{2})->service == ServiceIdOf(service));
 }
+
+/** Each of these kept the version with all its other routes out of force, and
+ * balancers that started then never became ready. */
+TEST(Translation, OddRouteDoesNotKeepTheConfigurationOutOfForce) {
+  const std::string split = R"([{"service":"desk","weight":)";
+  const std::vector<Fields> odd_routes = {
+      {{"name", Quoted(std::string(240, 'r'))}},
+      {{"name", Quoted(std::string(70'000, 'r'))}},
+      {{"name", Quoted("r 3")}},
+      {{"target_latency_ms", "0"}},
+      {{"target_latency_ms", "100000000"}},
+      {{"target_latency_ms", "1e308"}},
+      {{"target_latency_ms", ""}, {"timeout_ms", "100000000"}},
+      {{"target_latency_ms", ""}, {"timeout_ms", "-5"}},
+      {{"service", "\"unlisted\""}},
+      {{"service", Quoted(std::string(300, 's'))}},
+      {{"traffic_split", split + "8589934592}]"}},
+      {{"traffic_split", split + "1e308}]"}},
+      {{"traffic_split", split + "0.4}]"}},
+      {{"traffic_split", split + "0}]"}},
+      {{"traffic_split", split + "-1}]"}},
+      {{"traffic_split", R"([{"service":"unlisted","weight":1}])"}},
+      {{"hostname", Quoted("198.18.0.9\\u0000")}},
+      {{"prefix", Quoted("/70000/")}},
+      {{"prefix", Quoted("/" + std::string(250, '0') + "80/")}},
+      {{"priority", "1e308"}},
+      {{"name", "\"r-1\""}},
+      {{"hostname", "\"198.18.0.1\""}},
+  };
+  for (const Fields& odd : odd_routes)
+    ConfigWith({.route = Route("r-3", "198.18.0.9", odd)});
+  ConfigWith({.service = "\"desk\""});
+  ConfigWith({.service = Quoted(std::string(240, 's'))});
+  ConfigWith({.service = Quoted(std::string(70'000, 's'))});
+  for (const char* const idle : {"50", "2000000000", "1e308", "-1", "\"x\""})
+    ConfigWith({.idle_timeout_ms = idle});
+}
+
+/** @return The configuration translated while `in_force` is in force. */
+Config ConfigAfter(const std::string& in_force, const std::string& json) {
+  IniProblems problems;
+  const SectionTexts sections = Canonicalize(ReadIni("c", in_force, problems));
+  const platform::Translation translation = platform::TranslateConfig(
+      {{"op/config", json}}, [&] { return sections; });
+  const ConfigCheck check = CheckConfig("c", translation.text);
+  STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+  return check.config;
+}
+
+/** Leaving a class out ends its open flows. */
+TEST(Translation, InvalidRouteStaysAsItWasInForce) {
+  const std::string in_force =
+      platform::TranslateConfig(
+          {{"op/config",
+            OperatorConfig(
+                {.route = Route("r-3", "198.18.0.9", {{"service", "\"gone\""}}),
+                 .service = "\"gone\""})}})
+          .text;
+  const Config config = ConfigAfter(
+      in_force,
+      OperatorConfig({.route = Route("r-3", "198.18.0.9",
+                                     {{"service", "\"unlisted\""}})}));
+  const WorkClass* const kept = FindClass(config, ClassIdOf("r-3"));
+  CHECK(kept != nullptr);
+  CHECK(kept->service == ServiceIdOf("gone"));
+  CHECK(FindService(config, ServiceIdOf("gone")) != nullptr);
+  // A route that the operators have dropped is not kept.
+  CHECK(FindClass(ConfigAfter(in_force, OperatorConfig({})),
+                  ClassIdOf("r-3")) == nullptr);
+}
+
+/** A valid route takes the address of one that is invalid now. */
+TEST(Translation, ValidRouteIsPreferredToOneThatIsKept) {
+  const std::string in_force =
+      platform::TranslateConfig(
+          {{"op/config",
+            OperatorConfig({.route = Route("r-3", "198.18.0.9")})}})
+          .text;
+  const std::string routes =
+      Route("r-3", "198.18.0.7", {{"service", "\"unlisted\""}}) + "," +
+      Route("r-4", "198.18.0.9");
+  const Config config =
+      ConfigAfter(in_force, OperatorConfig({.route = routes}));
+  CHECK(FindClass(config, ClassIdOf("r-3")) == nullptr);
+  CHECK(FindClass(config, ClassIdOf("r-4")) != nullptr);
+}
+
+/** Operators may drop all routes, and the last valid route may be left out. */
+TEST(Translation, ConfigurationWithoutRoutesIsInForce) {
+  for (const char* const routes : {"", "7"}) {
+    const Config config = ConfigAfter(
+        platform::TranslateConfig({{"op/config", OperatorConfig({})}}).text,
+        std::string(R"({"version":8,"routes":[)") + routes +
+            R"(],"services":[]})");
+    LONGS_EQUAL(8, config.version.value);
+    LONGS_EQUAL(0, config.classes.size());
+  }
+  CHECK_CONTAINS(
+      "at least one such section",
+      FormatProblems(CheckConfig("c", "[document]\nversion = 1\n").problems));
+}
+
+TEST(Translation, RouteWithLongNamesIsInForce) {
+  const std::string name(240, 'n');
+  const Config config = ConfigWith(
+      {.route = Route(name, "198.18.0.9", {{"service", Quoted(name)}}),
+       .service = Quoted(name)});
+  CHECK(FindClass(config, ClassIdOf(name)) != nullptr);
+}
+
+/** Only the ratio of weights matters. */
+TEST(Translation, WeightsOfAnySizeKeepTheirRatio) {
+  for (const auto& [first, second] :
+       {std::pair("0.3", "0.1"), std::pair("3e18", "1e18"),
+        std::pair("25769803776", "8589934592"), std::pair("3", "1")}) {
+    const Config config = ConfigWith(
+        {.route = Route(
+             "r-3", "198.18.0.9",
+             {{"traffic_split",
+               std::string(R"([{"service":"desk","weight":)") + first +
+                   R"(},{"service":"proof","weight":)" + second + "}]"}})});
+    const WorkClass* const split = FindClass(config, ClassIdOf("r-3"));
+    CHECK(split != nullptr);
+    LONGS_EQUAL(2, split->split.size());
+    DOUBLES_EQUAL(3.0,
+                  static_cast<double>(split->split[0].weight) /
+                      static_cast<double>(split->split[1].weight),
+                  1e-5);
+  }
+}
+
+/** Values beyond what the balancer supports are replaced by the nearest one. */
+TEST(Translation, TimesOutOfRangeAreLimited) {
+  LONGS_EQUAL(
+      86'400'000,
+      ConfigWith({.idle_timeout_ms = "2000000000"}).flow_idle_timeout.count());
+  LONGS_EQUAL(100,
+              ConfigWith({.idle_timeout_ms = "50"}).flow_idle_timeout.count());
+  const Config config =
+      ConfigWith({.route = Route("r-3", "198.18.0.9",
+                                 {{"target_latency_ms", "100000000"}})});
+  const WorkClass* const slow = FindClass(config, ClassIdOf("r-3"));
+  CHECK(slow != nullptr);
+  LONGS_EQUAL(3'600'000, slow->target.answered_within_ms);
+}
