Ignored items and documents that stay behind are counted and logged

Change: item_ignored names each item that is not used as it stands, once instead of with every change of any entry, with action, key, found and allowed text; 16 lines at a time, then a count. cuminvane_ignored_items counts them by document. documents_unconfirmed is logged as a warning when the documents have not been confirmed as the newest ones for the time within which a change must be in force, and cuminvane_documents_age_ms shows the age. A route with a field of another type stays as it was in force too, like any other invalid one.

--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -131,12 +131,17 @@
   Metrics merged;
   for (const auto& worker : this->workers)
     merged.Merge(worker->GetMetrics());
-  return {true, true,
-          FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
-                        this->balancer.GetPacketPlane().FlowCount(),
-                        this->balancer.GetPacketPlane().Backends(), merged) +
-              "cuminvane_unexpected_errors_total " +
-              std::to_string(UnexpectedErrors()) + "\n"};
+  const TimePoint now = ReadClock();
+  return {
+      true, true,
+      FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
+                    this->balancer.GetPacketPlane().FlowCount(),
+                    this->balancer.GetPacketPlane().Backends(), merged) +
+          this->document_monitor.FormatMetrics(
+              this->balancer.GetTokenPlane().Control().ReadSelfEvidence(now),
+              now) +
+          "cuminvane_unexpected_errors_total " +
+          std::to_string(UnexpectedErrors()) + "\n"};
 }
 
 void Daemon::ScheduleTick() {
@@ -161,6 +166,7 @@
   if (now >= this->next_settings_check) {
     this->next_settings_check = now + kSettingsPollInterval;
     this->Reload("file_changed");
+    this->CheckDocumentAge(now);
   }
   if (!this->packets_started && this->balancer.GetTokenPlane().IsReady())
     this->StartPackets();
@@ -173,6 +179,17 @@
   this->ScheduleTick();
 }
 
+void Daemon::CheckDocumentAge(TimePoint now) {
+  const SelfEvidence evidence =
+      this->balancer.GetTokenPlane().Control().ReadSelfEvidence(now);
+  const std::optional<std::string> change =
+      this->document_monitor.OnEvidence(evidence, now);
+  if (change)
+    LogLine(Topic::kConfig,
+            evidence.documents_fresh ? Severity::kInfo : Severity::kWarning,
+            *change);
+}
+
 void Daemon::StartPackets() {
   this->packets_started = true;
   for (const auto& worker : this->workers)
@@ -276,6 +293,9 @@
     return this->balancer.GetTokenPlane().Control().ReadDocument(
         kind, [](const auto& document) { return document.Sections(); });
   };
+  hooks.report_ignored = [this](DocumentKind kind, size_t items) {
+    this->document_monitor.SetIgnoredItems(kind, items);
+  };
   hooks.confirm_documents = [this](TimePoint at) {
     this->balancer.GetTokenPlane().ConfirmDocuments(at);
   };
--- a/src/shell/daemon_base.h
+++ b/src/shell/daemon_base.h
@@ -14,6 +14,7 @@
 
 #include "control/control_func.h"
 #include "document/settings_type.h"
+#include "shell/document_monitor_base.h"
 #include "shell/fetch_server_base.h"
 #include "shell/metrics_base.h"
 #include "shell/page_base.h"
@@ -46,6 +47,8 @@
   void ScheduleTick();
   void OnTick();
   void StartPackets();
+  /** Logs when the documents become, or are no longer, too old. */
+  void CheckDocumentAge(TimePoint now);
   void WaitForReload();
   void Reload(const char* reason);
   void BeginStop(const char* reason);
@@ -63,6 +66,7 @@
   const Settings settings;  ///< Read at the start; unchanged by reloads.
   const std::string settings_path;  ///< Settings file, read again on a reload.
   std::string settings_text;  ///< Content of the file when it was read last.
+  DocumentMonitor document_monitor;
   TimePoint next_settings_check;  ///< Next time the file is read for changes.
   DaemonBalancer balancer;
   std::vector<std::shared_ptr<Worker>> workers;     ///< The first runs timers.
--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "shell/clock_func.h"
 #include "shell/guard_func.h"
@@ -25,6 +26,8 @@
 /** Interval at which a balancer that does not watch the store checks whether it
  * should. */
 constexpr Milliseconds kIdlePollInterval{100};
+/** Maximum number of lines about ignored items at once. */
+constexpr size_t kMaxProblemLines = 16;
 /** Version of lists of VMs that are compared. */
 constexpr uint64_t kComparedVersion = 1;
 
@@ -163,21 +166,38 @@
 }
 
 void StoreWatcher::TranslateItems() {
-  const auto update = [](TranslatedDocument& document,
-                         platform::Translation translation) {
-    if (translation == document.translation)
-      return;
-    for (const std::string& problem : translation.problems)
-      LogLine(Topic::kInput, Severity::kWarning,
-              "event=item_ignored reason=\"" + problem + "\"");
-    document = {std::move(translation), std::nullopt};
-  };
-  update(this->config, platform::TranslateConfig(this->items, [this] {
-           return this->hooks.active_sections(DocumentKind::kConfig);
-         }));
+  this->Update(DocumentKind::kConfig,
+               platform::TranslateConfig(this->items, [this] {
+                 return this->hooks.active_sections(DocumentKind::kConfig);
+               }));
   // Many revisions don't change the list of VMs, so it is compared with the
   // same version.
-  update(this->vms, platform::TranslateVmList(this->items, kComparedVersion));
+  this->Update(DocumentKind::kVmList,
+               platform::TranslateVmList(this->items, kComparedVersion));
+}
+
+void StoreWatcher::Update(DocumentKind kind,
+                          platform::Translation translation) {
+  TranslatedDocument& document =
+      kind == DocumentKind::kConfig ? this->config : this->vms;
+  if (translation == document.translation)
+    return;
+  std::vector<std::string> known = std::move(document.translation.problems);
+  std::ranges::sort(known);
+  size_t lines = 0;
+  for (const std::string& problem : translation.problems) {
+    if (!std::ranges::binary_search(known, problem) &&
+        ++lines <= kMaxProblemLines)
+      LogLine(Topic::kInput, Severity::kWarning,
+              std::string("event=item_ignored document=") + ToString(kind) +
+                  " " + problem);
+  }
+  if (lines > kMaxProblemLines)
+    LogLine(Topic::kInput, Severity::kWarning,
+            std::string("event=items_ignored document=") + ToString(kind) +
+                " count=" + std::to_string(lines));
+  this->hooks.report_ignored(kind, translation.problems.size());
+  document = {std::move(translation), std::nullopt};
 }
 
 bool StoreWatcher::BringIntoForce(DocumentKind kind, uint64_t version) {
--- a/src/shell/watcher_base.h
+++ b/src/shell/watcher_base.h
@@ -33,6 +33,8 @@
   std::function<bool(DocumentKind kind, const std::string& text)> has_content;
   /** @return Sections of the document in force; none if there is none. */
   std::function<SectionTexts(DocumentKind kind)> active_sections;
+  /** Reports how many items of a document are not used as they stand. */
+  std::function<void(DocumentKind kind, size_t items)> report_ignored;
   /** Reports that the documents in force were up to date at `at`. */
   std::function<void(TimePoint at)> confirm_documents;
 };
@@ -80,6 +82,8 @@
   void ApplyChange(const platform::StoreItem& item);
   /** Translates `items` into documents. */
   void TranslateItems();
+  /** Takes a translation of `items` and logs what is new among its problems. */
+  void Update(DocumentKind kind, platform::Translation translation);
   /**
    * Offers a document to the balancer unless it is in force already. Another
    * balancer may have brought a document into force that was read from the
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -268,6 +268,9 @@
       return kind == DocumentKind::kVmList ? this->list.Sections()
                                            : this->config.Sections();
     };
+    hooks.report_ignored = [this](DocumentKind, size_t items) {
+      this->ignored_items = items;
+    };
     hooks.confirm_documents = [this](TimePoint) { ++this->confirmations; };
     this->thread = std::thread([this, hooks] {
       StoreWatcher(this->settings, hooks, this->stop).Run();
@@ -290,6 +293,8 @@
         this->list.Offer(ReadClock(), text, {}, this->random, out).has_value());
   }
 
+  /** @return How many items of the document reported last are not used. */
+  size_t IgnoredItems() const { return this->ignored_items; }
   /** @return How often the documents were confirmed as current. */
   int Confirmations() const { return this->confirmations; }
 
@@ -337,6 +342,7 @@
   DocumentStore<ConfigDocument> config;
   RandomEngine random{1};
   std::atomic<int> confirmations = 0;
+  std::atomic<size_t> ignored_items = 0;  ///< Of the document reported last.
   std::atomic<bool> stop = false;
   std::thread thread;
 };
@@ -410,6 +416,7 @@
   store.Put("servers/i-2", odd);
   store.Put("servers/i-1", Entry("draining"));
   CHECK(watched.Becomes({{1, true}}));
+  LONGS_EQUAL(1, watched.IgnoredItems());
   const int confirmations = watched.Confirmations();
   std::this_thread::sleep_for(Milliseconds(800));
   CHECK(watched.Confirmations() > confirmations);
--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -166,8 +166,8 @@
   const platform::Translation list =
       platform::TranslateVmList({{"servers/i-2", Entry({{"slots", "0"}})}}, 5);
   STRCMP_EQUAL(
-      "servers/i-2 is left out: key=slots found=\"0\" allowed=\"integer 1 to "
-      "1000000\"",
+      "item=\"servers/i-2\" action=left_out key=slots found=\"0\" "
+      "allowed=\"integer 1 to 1000000\"",
       list.problems.front().c_str());
   const platform::Translation config = platform::TranslateConfig(
       {{"op/config",
@@ -175,7 +175,8 @@
                                        {{"service", "\"unlisted\""}})})}});
   LONGS_EQUAL(1, config.problems.size());
   CHECK_CONTAINS(
-      "route r-3 of op/config is left out: key=service found=\"unlisted\"",
+      "item=\"route r-3 of op/config\" action=left_out key=service "
+      "found=\"unlisted\"",
       config.problems.front());
 }
 
@@ -273,6 +274,12 @@
   CHECK(kept != nullptr);
   CHECK(kept->service == ServiceIdOf("gone"));
   CHECK(FindService(config, ServiceIdOf("gone")) != nullptr);
+  // So does one with a field of another type.
+  CHECK(FindClass(
+            ConfigAfter(in_force,
+                        OperatorConfig({.route = Route("r-3", "198.18.0.9",
+                                                       {{"service", "7"}})})),
+            ClassIdOf("r-3")) != nullptr);
   // A route that the operators have dropped is not kept.
   CHECK(FindClass(ConfigAfter(in_force, OperatorConfig({})),
                   ClassIdOf("r-3")) == nullptr);
