--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -161,6 +161,17 @@
   CHECK(FindVm(list, VmId{2}) == nullptr);
 }
 
+/** Reading an array of 400,000 numbers with each change of the list would take
+ * the processor away from packets. */
+TEST(Translation, EntryOfAMegabyteIsLeftOut) {
+  std::string numbers = "[1";
+  for (int index = 1; index < 400'000; ++index)
+    numbers += ",1";
+  const VmList list =
+      ListWith("servers/i-2", Entry({{"further", numbers + "]"}}));
+  CHECK(FindVm(list, VmId{2}) == nullptr);
+}
+
 /** The report names the item, the field, and what is expected. */
 TEST(Translation, WhatIsLeftOutIsReported) {
   const platform::Translation list =
