Soak: an odd entry of another writer in each run

Each run of the soak writes an entry that no balancer can use (a long name, a zero byte in an address, a port or number out of range, deep nesting, chosen by the seed) before the load begins, and every third configuration has a route of a service that is not listed. The faults that a seed draws stay the same.

--- a/tests/soak/fleet_base.cc
+++ b/tests/soak/fleet_base.cc
@@ -13,6 +13,7 @@
 #include <sstream>
 
 #include "packet/packet_func.h"
+#include "shell/clock_func.h"
 #include "shell/program_func.h"
 #include "shell/status_func.h"
 #include "standin/file_store_base.h"
@@ -148,6 +149,35 @@
   return servers;
 }
 
+/** @return The entry of a backend server with another value of one field.
+ * @param form Selects the field and the value. */
+std::string OddEntry(size_t form) {
+  const std::vector<std::pair<std::string, std::string>> forms = {
+      {"service", "\"" + std::string(2000, 's') + "\""},
+      {"zone", "\"" + std::string(300'000, 'z') + "\""},
+      {"address", "\"127.0.0.1\\u0000:9\""},
+      {"address", "\"127.0.0.1:70000\""},
+      {"slots", "1e308"},
+      {"born", std::string(200'000, '9')},
+      {"further", std::string(200'000, '[')}};
+  const auto& [field, value] = forms.at(form % forms.size());
+  std::string json = "{\"" + field + "\":" + value;
+  const std::vector<std::pair<std::string, std::string>> usual = {
+      {"service", "\"desk\""},
+      {"address", "\"127.0.0.1:9\""},
+      {"zone", "\"a\""},
+      {"version", "\"v1\""},
+      {"slots", "1"},
+      {"state", "\"ready\""},
+      {"cold_remaining_ms", "0"},
+      {"seq", "1"}};
+  for (const auto& [name, text] : usual) {
+    if (name != field)
+      json.append(",\"").append(name).append("\":").append(text);
+  }
+  return json + "}";
+}
+
 /** Number of values of the third address octet, counted from 1. */
 constexpr uint32_t kAddressOctetCount = 250;
 
@@ -268,6 +298,9 @@
     json << ",{\"name\":\"extra\",\"hostname\":\"198.18.0.9\",\"prefix\":"
             "\"/443/\",\"route_type\":\"safe\",\"timeout_ms\":3000,"
             "\"target_latency_ms\":100,\"priority\":1,\"service\":\"desk\"}";
+  if (this->version % 3 == 0)
+    json << ",{\"name\":\"odd\",\"hostname\":\"198.18.0.8\",\"prefix\":"
+            "\"/443/\",\"timeout_ms\":0,\"service\":\"unlisted\"}";
   json << "],\"services\":[{\"name\":\"desk\"},{\"name\":\"files\"}],"
           "\"limits\":{\"idle_timeout_ms\":12000}}";
   const std::string path = this->directory + "/store/op/config";
@@ -275,6 +308,18 @@
   std::filesystem::rename(path + ".new", path);
 }
 
+void Fleet::WriteOddEntry(size_t form, TimePoint until) const {
+  const std::string path =
+      this->directory + "/store/servers/odd-" + std::to_string(form);
+  std::ofstream(path + ".new") << OddEntry(form);
+  using FileClock = std::filesystem::file_time_type::clock;
+  std::filesystem::last_write_time(
+      path + ".new",
+      FileClock::now() +
+          std::chrono::duration_cast<FileClock::duration>(until - ReadClock()));
+  std::filesystem::rename(path + ".new", path);
+}
+
 void Fleet::AddBackendServer(const std::string& service) {
   const auto number = static_cast<uint32_t>(this->backend_servers.size()) + 1;
   this->backend_servers.emplace_back(
--- a/tests/soak/fleet_base.h
+++ b/tests/soak/fleet_base.h
@@ -42,6 +42,12 @@
   /** Writes the next configuration; every second version has an extra route. */
   void Publish();
 
+  /** Writes an entry among those of the backend servers as another program
+   * may do, which no balancer can use.
+   * @param form Selects its content.
+   * @param until Time at which it expires. */
+  void WriteOddEntry(size_t form, TimePoint until) const;
+
   /** @return Address of the callers that enter at a data centre, numbered from
    * 0. */
   Endpoint CallerEndpoint(size_t centre) const;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -70,6 +70,7 @@
     this->faults_end = this->load_start + this->length;
     this->ends_at = this->faults_end + kRecoveryTime + kCheckDuration;
     this->next_fault_at = this->load_start + Seconds(2);
+    this->fleet.WriteOddEntry(this->seed, this->ends_at);
     return this->RunUntilEnd();
   }
 
