An unreadable configuration is not confirmed as the newest one

What callers would see: a balancer that can't read the newest configuration took its documents for the newest ones, on which proof for resets rests.

Cause: an empty translation stood for "the store has no such document" and for "it can't be used". Change: the latter is not confirmed, so the balancer counts as behind, which documents_unconfirmed shows. Watcher.UnreadableConfiguration- IsNotConfirmed failed before.

--- a/src/shell/watcher_base.cc
+++ b/src/shell/watcher_base.cc
@@ -203,8 +203,9 @@
 bool StoreWatcher::BringIntoForce(DocumentKind kind, uint64_t version) {
   const bool is_config = kind == DocumentKind::kConfig;
   TranslatedDocument& document = is_config ? this->config : this->vms;
+  // Without a text the store has no such document, or one that can't be used.
   if (document.translation.text.empty())
-    return true;
+    return document.translation.problems.empty();
   const DocumentStamp in_force = this->hooks.active_stamp(kind);
   const std::optional<Comparison>& last = document.compared;
   if (last && last->in_force == in_force &&
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -434,6 +434,17 @@
   CHECK(watched.Confirmations() > 0);
 }
 
+/** The newest configuration is not in force. */
+TEST(Watcher, UnreadableConfigurationIsNotConfirmed) {
+  FakeStore store;
+  store.Put("servers/i-1", Entry("ready"));
+  store.Put("op/config", "{\"version\":");
+  const WatchedDocuments watched(store);
+  CHECK(watched.Becomes({{1, false}}));
+  std::this_thread::sleep_for(Milliseconds(300));
+  LONGS_EQUAL(0, watched.Confirmations());
+}
+
 TEST(Watcher, NewVersionOfAConfigurationIsActiveWithoutAnyChange) {
   FakeStore store;
   store.Put("config", ConfigText(7));
--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -242,6 +242,7 @@
       {{"traffic_split", split + "-1}]"}},
       {{"traffic_split", R"([{"service":"unlisted","weight":1}])"}},
       {{"hostname", Quoted("198.18.0.9\\u0000")}},
+      {{"hostname", Quoted("198.18.0.8:80, 198.18.0.9")}},
       {{"prefix", Quoted("/70000/")}},
       {{"prefix", Quoted("/" + std::string(250, '0') + "80/")}},
       {{"priority", "1e308"}},
@@ -327,6 +328,33 @@
       FormatProblems(CheckConfig("c", "[document]\nversion = 1\n").problems));
 }
 
+/** A list in a field that names one thing. */
+TEST(Translation, RouteWithAListInsteadOfANameIsLeftOut) {
+  for (const Fields& odd :
+       std::vector<Fields>{{{"hostname", Quoted("198.18.0.8:80, 198.18.0.9")}},
+                           {{"traffic_split",
+                             R"([{"service":"desk 1, proof","weight":1}])"}}}) {
+    const Config config =
+        ConfigWith({.route = Route("r-3", "198.18.0.9", odd)});
+    CHECK(FindClass(config, ClassIdOf("r-3")) == nullptr);
+  }
+}
+
+/** The service that a kept class needs is not valid without its token key. */
+TEST(Translation, RouteWhoseServiceCannotBeKeptIsLeftOut) {
+  const std::string in_force =
+      "[document]\nversion = 1\n[token-key 1]\nsecret = "
+      "000102030405060708090a0b0c0d0e0f\n[service gone]\naddresses = "
+      "10.0.0.1:80\n[class r-3]\nservice = gone\nidempotent = yes\nrank = "
+      "1\nanswered_within_ms = 100\n";
+  const Config config = ConfigAfter(
+      in_force,
+      OperatorConfig({.route = Route("r-3", "198.18.0.9",
+                                     {{"service", "\"unlisted\""}})}));
+  CHECK(FindClass(config, ClassIdOf("r-3")) == nullptr);
+  LONGS_EQUAL(2, config.classes.size());
+}
+
 TEST(Translation, RouteWithLongNamesIsInForce) {
   const std::string name(240, 'n');
   const Config config = ConfigWith(
