Split pool_base.cc: failure detection moves to pool_health.cc

Change: functions and constants of health checks and reachability are in pool_health.cc, without any other change of the code. Measured: nothing; the object code is moved only.

--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -3,7 +3,6 @@
 #include "packet/pool_base.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "document/config_func.h"
@@ -13,20 +12,6 @@
 namespace cuminvane {
 namespace {
 
-/** Maximum number of connections tried in one health check, since a single
- * packet may be lost. A recheck tries only one. */
-constexpr int kCheckAttempts = 3;
-/** Maximum number of health checks started at once if a whole data centre is
- * suspected. */
-constexpr int kMaxDataCentreChecks = 32;
-/** Time until a health check without a result is repeated. */
-constexpr Milliseconds kInconclusiveRecheck{100};
-/** A backend server that is lost again within this time after its last loss is
- * flapping; each such loss doubles the time until it is trusted again. */
-constexpr Seconds kFlapWindow{20};
-/** Maximum number of doublings of the time until a recovered backend server is
- * trusted again. */
-constexpr int kMaxReinstatementDoublings = 3;
 /** Time for which a backend server that left the list of VMs is kept after its
  * last answer, so that its flows go on. */
 constexpr Seconds kDelistedRetention{60};
@@ -37,46 +22,14 @@
 /** Ticks further apart than this mean that this process itself has stalled. A
  * health check that timed out during a stall may have been answered. */
 constexpr Milliseconds kStallThreshold{60};
-/** Weight of the newest answer in the moving average of answer times. */
-constexpr double kAnswerWeight = 0.1;
 /** Time between two updates of utilisation, isolation and due health checks. */
 constexpr Milliseconds kUpdateInterval{100};
 /** Weight of the newest sample of the utilisation; with kUpdateInterval the
  * average covers about one second. */
 constexpr double kUtilisationWeight = 0.1;
-/** This balancer is isolated if more than this share of the backend servers
- * that have flows or are unavailable are suspected or unreachable. */
-constexpr double kIsolatedShare = 0.8;
-/** With fewer suspected or unreachable backend servers than this the balancer
- * is not isolated. */
-constexpr int kMinIsolatedBackends = 3;
-
-/** Names in logs, by the value of Reachability. */
-constexpr std::array<const char*, 4> kReachabilityNames = {
-    "reachable", "suspect", "unreachable", "refusing"};
-/** Names in logs, by the value of FailureSignal. */
-constexpr std::array<const char*, 6> kFailureSignalNames = {
-    "repeat", "late_answer", "late_open", "peer", "data_centre", "recheck"};
-
-/** @return Age of the last answer when the last health check started; 0 if
- * there was no answer. */
-Microseconds LastAliveAgeOf(const Liveness& liveness) {
-  return liveness.last_alive_at == TimePoint{}
-             ? Microseconds(0)
-             : std::max(Microseconds(0),
-                        liveness.suspected_at - liveness.last_alive_at);
-}
 
 }  // namespace
 
-const char* ToString(Reachability reachability) {
-  return kReachabilityNames.at(static_cast<size_t>(reachability));
-}
-
-const char* ToString(FailureSignal failure_signal) {
-  return kFailureSignalNames.at(static_cast<size_t>(failure_signal));
-}
-
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
     : data_centre(DataCentreIdOf(data_centre)), limits(limits) {}
 
@@ -123,18 +76,6 @@
   return restarted;
 }
 
-void BackendPool::ForgetInstance(PoolMember& member, TimePoint now) const {
-  Liveness& liveness = member.liveness;
-  if (IsUnavailable(member))
-    liveness.trusted_from = this->ReinstatedFrom(liveness, now);
-  liveness.reachability = Reachability::kReachable;
-  liveness.flows_kept = false;
-  // A check that is still running ends before the next one starts, and its
-  // result is ignored.
-  liveness.check_pending = false;
-  liveness.next_check_at = now + this->limits.check_timeout;
-}
-
 void BackendPool::IndexTags() {
   this->by_tag.clear();
   // If several backend servers have the same tag, the oldest one keeps it,
@@ -177,217 +118,6 @@
           member.liveness.last_alive_at > member.delisted_at);
 }
 
-bool BackendPool::IsTrusted(const PoolMember& member, TimePoint now) const {
-  return member.liveness.reachability == Reachability::kReachable &&
-         member.liveness.trusted_from <= now;
-}
-
-void BackendPool::OnAlive(PoolMember& member,
-                          TimePoint now,
-                          PacketOutput& out) {
-  member.liveness.last_alive_at = now;
-  if (member.liveness.reachability == Reachability::kSuspect)
-    this->SetReachability(member, Reachability::kReachable, "flow_answered",
-                          out);
-}
-
-void BackendPool::OnHandshake(PoolMember& member,
-                              TimePoint placed_at,
-                              TimePoint now,
-                              PacketOutput& out) {
-  this->OnAlive(member, now, out);
-  if (IsUnavailable(member) && placed_at > member.liveness.last_loss_at)
-    this->MarkRecovered(member, "flow_opened", now, out);
-}
-
-void BackendPool::MarkRecovered(PoolMember& member,
-                                const char* reason,
-                                TimePoint now,
-                                PacketOutput& out) {
-  if (IsUnavailable(member))
-    member.liveness.trusted_from = this->ReinstatedFrom(member.liveness, now);
-  this->SetReachability(member, Reachability::kReachable, reason, out);
-}
-
-TimePoint BackendPool::ReinstatedFrom(const Liveness& liveness,
-                                      TimePoint now) const {
-  const int doublings =
-      std::min(liveness.recent_losses - 1, kMaxReinstatementDoublings);
-  return now + this->limits.reinstatement_delay * (1 << std::max(0, doublings));
-}
-
-void BackendPool::OnAnswer(PoolMember& member, Microseconds time) {
-  const double ms = std::chrono::duration<double, std::milli>(time).count();
-  member.answer_ms =
-      member.answer_ms == 0
-          ? ms
-          : member.answer_ms + kAnswerWeight * (ms - member.answer_ms);
-}
-
-void BackendPool::OnFailureSignal(PoolMember& member,
-                                  FailureSignal failure_signal,
-                                  TimePoint since,
-                                  TimePoint now,
-                                  PacketOutput& out) {
-  const Liveness& liveness = member.liveness;
-  if (liveness.reachability != Reachability::kReachable ||
-      liveness.last_alive_at > since || liveness.next_check_at > now ||
-      member.delisted_at != kNever)
-    return;
-  this->SetReachability(member, Reachability::kSuspect,
-                        ToString(failure_signal), out);
-  this->StartHealthCheck(member, failure_signal, now, out);
-}
-
-void BackendPool::StartHealthCheck(PoolMember& member,
-                                   FailureSignal failure_signal,
-                                   TimePoint now,
-                                   PacketOutput& out) {
-  member.liveness.check_pending = true;
-  member.liveness.failure_signal = failure_signal;
-  member.liveness.suspected_at = now;
-  member.liveness.next_check_at = now + this->limits.min_check_interval;
-  out.checks.push_back(
-      {member.vm, member.address, this->NextControl(),
-       failure_signal == FailureSignal::kRecheck && !member.liveness.flows_kept
-           ? 1
-           : kCheckAttempts,
-       now + this->limits.check_timeout});
-}
-
-Endpoint BackendPool::NextControl() {
-  if (this->controls == nullptr || this->controls->empty())
-    return {};
-  return (*this->controls)[this->control_index++ % this->controls->size()];
-}
-
-bool BackendPool::OnHealthCheckResult(VmId vm,
-                                      HealthCheckResult result,
-                                      TimePoint now,
-                                      PacketOutput& out) {
-  PoolMember* const member = this->Find(vm);
-  if (member == nullptr || !member->liveness.check_pending)
-    return false;
-  Liveness& liveness = member->liveness;
-  liveness.check_pending = false;
-  if (result == HealthCheckResult::kAnswered) {
-    liveness.last_alive_at = now;
-    if (liveness.reachability == Reachability::kReachable)
-      return false;
-    this->MarkRecovered(*member, "check_answered", now, out);
-    return false;
-  }
-  if (result == HealthCheckResult::kInconclusive &&
-      liveness.reachability != Reachability::kReachable) {
-    // The backend server gets no new flows while it is suspected, but its open
-    // ones are kept. The next check has another control.
-    liveness.next_check_at = now + kInconclusiveRecheck;
-    this->SetReachability(*member, Reachability::kSuspect, "own_link_silent",
-                          out);
-    return false;
-  }
-  const bool stalled_meanwhile = result == HealthCheckResult::kTimedOut &&
-                                 this->last_stall_at >= liveness.suspected_at;
-  if (IsUnavailable(*member)) {
-    liveness.next_check_at = now + this->limits.recheck_interval;
-    const bool serves_flows =
-        liveness.last_alive_at + this->limits.recheck_interval > now;
-    return liveness.flows_kept && !serves_flows && !stalled_meanwhile &&
-           this->LosesFlows(*member, result, now, out);
-  }
-  if (liveness.reachability == Reachability::kReachable)
-    return false;  // One of its flows was answered before the check ended.
-  const bool answered_meanwhile =
-      liveness.last_alive_at > liveness.suspected_at;
-  if (answered_meanwhile || stalled_meanwhile) {
-    this->SetReachability(*member, Reachability::kReachable,
-                          answered_meanwhile ? "flow_answered" : "held_up",
-                          out);
-    return false;
-  }
-  liveness.recent_losses = liveness.last_loss_at + kFlapWindow > now
-                               ? liveness.recent_losses + 1
-                               : 1;
-  liveness.last_loss_at = now;
-  liveness.next_check_at = now + this->limits.recheck_interval;
-  return this->LosesFlows(*member, result, now, out);
-}
-
-bool BackendPool::LosesFlows(PoolMember& member,
-                             HealthCheckResult result,
-                             TimePoint now,
-                             PacketOutput& out) {
-  Liveness& liveness = member.liveness;
-  if (result == HealthCheckResult::kTimedOut) {
-    liveness.flows_kept = false;
-    this->SetReachability(member, Reachability::kUnreachable, "check_silent",
-                          out);
-    if (!MayBeStopping(member, now))
-      this->SuspectDataCentre(member, now, out);
-    return true;
-  }
-  if (liveness.reachability != Reachability::kRefusing)
-    this->SetReachability(member, Reachability::kRefusing, "check_refused",
-                          out);
-  // A stopping process closes its listener first and then finishes its
-  // requests, so only a server that is known not to stop has crashed.
-  const bool may_be_stopping = MayBeStopping(member, now);
-  const bool crashed = !may_be_stopping && !this->isolated &&
-                       this->guard.DocumentsShowStops(now);
-  if (!crashed && !liveness.flows_kept)
-    this->LogReachability(member, Severity::kInfo, "flows_kept",
-                          may_be_stopping  ? "leaving"
-                          : this->isolated ? "isolated"
-                                           : "documents_behind",
-                          out);
-  liveness.flows_kept = !crashed;
-  return crashed;
-}
-
-void BackendPool::SuspectDataCentre(const PoolMember& unreachable,
-                                    TimePoint now,
-                                    PacketOutput& out) {
-  int started_checks = 0;
-  for (auto& [vm, member] : this->members) {
-    const bool unanswered =
-        member.data_centre == unreachable.data_centre && member.flows > 0 &&
-        member.liveness.reachability == Reachability::kReachable &&
-        member.liveness.last_alive_at < unreachable.liveness.suspected_at;
-    if (!unanswered || started_checks == kMaxDataCentreChecks)
-      continue;
-    this->OnFailureSignal(member, FailureSignal::kDataCentre, now, now, out);
-    ++started_checks;
-  }
-}
-
-void BackendPool::SetReachability(PoolMember& member,
-                                  Reachability reachability,
-                                  const char* reason,
-                                  PacketOutput& out) {
-  member.liveness.reachability = reachability;
-  if (reachability == Reachability::kReachable)
-    member.liveness.flows_kept = false;
-  LogReachability(member,
-                  IsUnavailable(member) ? Severity::kWarning : Severity::kInfo,
-                  ToString(reachability), reason, out);
-}
-
-void BackendPool::LogReachability(const PoolMember& member,
-                                  Severity severity,
-                                  const char* event,
-                                  const char* reason,
-                                  PacketOutput& out) {
-  Decision decision;
-  decision.topic = Topic::kReachability;
-  decision.severity = severity;
-  decision.event = event;
-  decision.reason = reason;
-  decision.vm = member.vm;
-  decision.count = member.flows;
-  decision.age = LastAliveAgeOf(member.liveness);
-  out.common.decisions.push_back(decision);
-}
-
 void BackendPool::Tick(TimePoint now,
                        int local_balancers,
                        const SelfEvidence& evidence,
@@ -447,21 +177,4 @@
   }
 }
 
-void BackendPool::UpdateIsolation() {
-  int failing = 0;
-  int observed = 0;
-  for (const auto& [vm, member] : this->members) {
-    if (member.delisted_at != kNever ||
-        (member.flows == 0 && !IsUnavailable(member)))
-      continue;
-    ++observed;
-    const bool unreachable =
-        member.liveness.reachability == Reachability::kUnreachable;
-    const bool suspect = member.liveness.reachability == Reachability::kSuspect;
-    failing += unreachable || suspect ? 1 : 0;
-  }
-  this->isolated =
-      failing >= kMinIsolatedBackends && failing > kIsolatedShare * observed;
-}
-
 }  // namespace cuminvane
