Failure detection: a server's own answers outweigh a health check

Cause: a refused check was proof of a crash, and so was one that timed out while a control answered. Ruled out: a larger time-out (a full server still refuses), a second opinion of a peer (refused too), the share of failing servers alone (a quarter can crash). Change: after a refusal, flows are lost only with a second refusal, 600 ms of silence of the server's flows and two retransmissions; after a time-out, only with an overdue answer of its own, with a control that answered each attempt early, and with two such checks if eight servers fail within a second. A server that refuses but answers its flows is full, and trusted at once when it accepts.

--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -307,7 +307,8 @@
   const bool is_answered =
       this->UpdateSequence(context, packet, *record, *member);
   if (member->liveness.reachability == Reachability::kUnreachable &&
-      !is_answered && !context.backends.IsIsolated())
+      !member->liveness.flows_kept && !is_answered &&
+      !context.backends.IsIsolated())
     return ResetUnreachable(context, packet, *record);
   if (packet.closes || packet.resets)
     UncountFlow(*record, context.backends);
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -132,7 +132,7 @@
     return;
   this->next_update_at = now + kUpdateInterval;
   this->UpdateLocalUtilisation(now, local_balancers);
-  this->UpdateIsolation();
+  this->UpdateIsolation(now);
   for (auto& [vm, member] : this->members) {
     const bool unproven =
         IsUnavailable(member) ||
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -214,15 +214,28 @@
                         FailureSignal failure_signal,
                         TimePoint now,
                         PacketOutput& out);
+  /** Counts failure signals of a backend server's own flows since its last
+   * answer. They show whether its flows make progress. */
+  void CountSignal(PoolMember& member,
+                   FailureSignal failure_signal,
+                   TimePoint since,
+                   TimePoint now) const;
+  /** @return Whether this balancer's own link may be the reason why a check
+   * timed out, so that the check has to be repeated. */
+  bool DoubtsTimeout(const Liveness& liveness, TimePoint now) const;
   /**
    * Marks a backend server as unavailable after a check without success.
-   * @return Whether its open flows are lost. They are kept while it refuses
-   * connections and may be stopping.
+   * @return Whether its open flows are lost. They are kept unless the flows
+   * themselves show that the backend server is gone, since a check can also be
+   * refused by a full server, and lost on a congested link.
    */
   bool LosesFlows(PoolMember& member,
                   HealthCheckResult result,
                   TimePoint now,
                   PacketOutput& out);
+  /** @return Whether a backend server that refuses connections has crashed: it
+   * is not stopping, and its open flows make no progress. */
+  bool HasCrashed(const PoolMember& member, TimePoint now) const;
   /** Reports a failure signal for the other backend servers in the data centre
    * of an unreachable one that have not answered since its check started. */
   void SuspectDataCentre(const PoolMember& unreachable,
@@ -244,8 +257,9 @@
                               PacketOutput& out);
   /** Adds a sample of the current utilisation to `local_utilisation`. */
   void UpdateLocalUtilisation(TimePoint now, int local_balancers);
-  /** Updates `isolated` from the health of the listed backend servers. */
-  void UpdateIsolation();
+  /** Updates `isolated` and `recent_failures` from the health of the listed
+   * backend servers. */
+  void UpdateIsolation(TimePoint now);
   /** Rebuilds `by_tag` and finds tag conflicts. */
   void IndexTags();
 
@@ -268,6 +282,11 @@
                              ///< if none.
   TimePoint last_tick_at;    ///< Last call of Tick; TimePoint{} if none.
   bool isolated = false;     ///< See IsIsolated.
+  /** Backend servers whose health check failed or runs since a short time. */
+  int recent_failures = 0;
+  /** When the control of a check last answered late or in part; TimePoint{} if
+   * never. */
+  TimePoint link_impaired_at;
 };
 
 }  // namespace cuminvane
--- a/src/packet/pool_health.cc
+++ b/src/packet/pool_health.cc
@@ -32,6 +32,25 @@
  * is not isolated. */
 constexpr int kMinIsolatedBackends = 3;
 
+/** If this many backend servers fail at about the same time, the cause may be
+ * this balancer's own link, so each needs two checks that time out. */
+constexpr int kManyFailures = 8;
+/** Failures within this time count as simultaneous. */
+constexpr Milliseconds kFailureWindow{1000};
+/** Time without trust in checks that time out after a control has answered late
+ * or in part. */
+constexpr Milliseconds kLinkDoubt{1000};
+/** A full backend server answers the requests in its queue within this time, so
+ * one that refuses connections and answers none of its flows for longer has
+ * crashed. */
+constexpr Milliseconds kSilenceOfCrash{600};
+/** Time between two refusals that belong to one crash; below the interval of
+ * rechecks. */
+constexpr Milliseconds kMinRefusalSpan{400};
+/** Retransmissions without an answer that prove a crash together with
+ * refusals; a single one may be due to a lost packet. */
+constexpr int kRetransmissionsOfCrash = 2;
+
 /** Names in logs, by the value of Reachability. */
 constexpr std::array<const char*, 4> kReachabilityNames = {
     "reachable", "suspect", "unreachable", "refusing"};
@@ -48,6 +67,14 @@
                         liveness.suspected_at - liveness.last_alive_at);
 }
 
+/** Discards evidence of a failure, because the backend server has answered. */
+void ForgetFailures(Liveness& liveness) {
+  liveness.unanswered_signals = 0;
+  liveness.unanswered_retransmissions = 0;
+  liveness.silent_checks = 0;
+  liveness.refused_since = kNever;
+}
+
 }  // namespace
 
 const char* ToString(Reachability reachability) {
@@ -64,6 +91,7 @@
     liveness.trusted_from = this->ReinstatedFrom(liveness, now);
   liveness.reachability = Reachability::kReachable;
   liveness.flows_kept = false;
+  ForgetFailures(liveness);
   // A check that is still running ends before the next one starts, and its
   // result is ignored.
   liveness.check_pending = false;
@@ -78,8 +106,14 @@
 void BackendPool::OnAlive(PoolMember& member,
                           TimePoint now,
                           PacketOutput& out) {
-  member.liveness.last_alive_at = now;
-  if (member.liveness.reachability == Reachability::kSuspect)
+  Liveness& liveness = member.liveness;
+  liveness.last_alive_at = now;
+  liveness.unanswered_signals = 0;
+  liveness.unanswered_retransmissions = 0;
+  liveness.silent_checks = 0;
+  if (liveness.reachability == Reachability::kRefusing && liveness.flows_kept)
+    liveness.is_full = true;
+  if (liveness.reachability == Reachability::kSuspect)
     this->SetReachability(member, Reachability::kReachable, "flow_answered",
                           out);
 }
@@ -97,8 +131,12 @@
                                 const char* reason,
                                 TimePoint now,
                                 PacketOutput& out) {
-  if (IsUnavailable(member))
-    member.liveness.trusted_from = this->ReinstatedFrom(member.liveness, now);
+  Liveness& liveness = member.liveness;
+  if (liveness.is_full)  // Its refusal was no loss.
+    liveness.recent_losses = std::max(0, liveness.recent_losses - 1);
+  else if (IsUnavailable(member))
+    liveness.trusted_from = this->ReinstatedFrom(liveness, now);
+  ForgetFailures(liveness);
   this->SetReachability(member, Reachability::kReachable, reason, out);
 }
 
@@ -122,6 +160,7 @@
                                   TimePoint since,
                                   TimePoint now,
                                   PacketOutput& out) {
+  this->CountSignal(member, failure_signal, since, now);
   const Liveness& liveness = member.liveness;
   if (liveness.reachability != Reachability::kReachable ||
       liveness.last_alive_at > since || liveness.next_check_at > now ||
@@ -132,6 +171,24 @@
   this->StartHealthCheck(member, failure_signal, now, out);
 }
 
+void BackendPool::CountSignal(PoolMember& member,
+                              FailureSignal failure_signal,
+                              TimePoint since,
+                              TimePoint now) const {
+  Liveness& liveness = member.liveness;
+  const bool is_own = failure_signal == FailureSignal::kRetransmission ||
+                      failure_signal == FailureSignal::kLateAnswer ||
+                      failure_signal == FailureSignal::kLateOpeningAnswer;
+  if (!is_own || liveness.last_alive_at > since)
+    return;
+  ++liveness.unanswered_signals;
+  if (failure_signal != FailureSignal::kRetransmission)
+    return;
+  ++liveness.unanswered_retransmissions;
+  if (liveness.flows_kept && this->HasCrashed(member, now))
+    liveness.next_check_at = now;
+}
+
 void BackendPool::StartHealthCheck(PoolMember& member,
                                    FailureSignal failure_signal,
                                    TimePoint now,
@@ -163,6 +220,8 @@
     return false;
   Liveness& liveness = member->liveness;
   liveness.check_pending = false;
+  if (result != HealthCheckResult::kRefused)
+    liveness.refused_since = kNever;
   if (result == HealthCheckResult::kAnswered) {
     liveness.last_alive_at = now;
     if (liveness.reachability == Reachability::kReachable)
@@ -170,12 +229,21 @@
     this->MarkRecovered(*member, "check_answered", now, out);
     return false;
   }
-  if (result == HealthCheckResult::kInconclusive &&
-      liveness.reachability != Reachability::kReachable) {
+  if (result == HealthCheckResult::kLinkImpaired)
+    this->link_impaired_at = now;
+  const bool inconclusive = result == HealthCheckResult::kInconclusive ||
+                            result == HealthCheckResult::kLinkImpaired ||
+                            (result == HealthCheckResult::kTimedOut &&
+                             this->DoubtsTimeout(liveness, now));
+  if (inconclusive && liveness.reachability != Reachability::kReachable) {
     // The backend server gets no new flows while it is suspected, but its open
     // ones are kept. The next check has another control.
     liveness.next_check_at = now + kInconclusiveRecheck;
-    this->SetReachability(*member, Reachability::kSuspect, "own_link_silent",
+    liveness.silent_checks += result == HealthCheckResult::kTimedOut ? 1 : 0;
+    this->SetReachability(*member, Reachability::kSuspect,
+                          result == HealthCheckResult::kInconclusive
+                              ? "own_link_silent"
+                              : "own_link_doubtful",
                           out);
     return false;
   }
@@ -206,35 +274,50 @@
   return this->LosesFlows(*member, result, now, out);
 }
 
+bool BackendPool::DoubtsTimeout(const Liveness& liveness, TimePoint now) const {
+  if (this->link_impaired_at != TimePoint{} &&
+      this->link_impaired_at + kLinkDoubt > now)
+    return true;
+  return this->recent_failures >= kManyFailures && liveness.silent_checks == 0;
+}
+
+bool BackendPool::HasCrashed(const PoolMember& member, TimePoint now) const {
+  const Liveness& liveness = member.liveness;
+  // A stopping process closes its listener first and then finishes its
+  // requests.
+  if (MayBeStopping(member, now) || this->isolated ||
+      !this->guard.DocumentsShowStops(now))
+    return false;
+  return liveness.refused_since + kMinRefusalSpan <= now &&
+         liveness.last_alive_at + kSilenceOfCrash <= now &&
+         liveness.unanswered_retransmissions >= kRetransmissionsOfCrash;
+}
+
 bool BackendPool::LosesFlows(PoolMember& member,
                              HealthCheckResult result,
                              TimePoint now,
                              PacketOutput& out) {
   Liveness& liveness = member.liveness;
-  if (result == HealthCheckResult::kTimedOut) {
-    liveness.flows_kept = false;
-    this->SetReachability(member, Reachability::kUnreachable, "check_silent",
-                          out);
-    if (!MayBeStopping(member, now))
-      this->SuspectDataCentre(member, now, out);
-    return true;
-  }
-  if (liveness.reachability != Reachability::kRefusing)
-    this->SetReachability(member, Reachability::kRefusing, "check_refused",
-                          out);
-  // A stopping process closes its listener first and then finishes its
-  // requests, so only a server that is known not to stop has crashed.
-  const bool may_be_stopping = MayBeStopping(member, now);
-  const bool crashed = !may_be_stopping && !this->isolated &&
-                       this->guard.DocumentsShowStops(now);
-  if (!crashed && !liveness.flows_kept)
+  const bool refused = result == HealthCheckResult::kRefused;
+  const bool was_unavailable = IsUnavailable(member);
+  if (refused && liveness.refused_since == kNever)
+    liveness.refused_since = now;
+  if (!refused || liveness.reachability != Reachability::kRefusing)
+    this->SetReachability(
+        member, refused ? Reachability::kRefusing : Reachability::kUnreachable,
+        refused ? "check_refused" : "check_silent", out);
+  const bool lost =
+      refused ? this->HasCrashed(member, now) : liveness.unanswered_signals > 0;
+  if (!lost && !was_unavailable)
     this->LogReachability(member, Severity::kInfo, "flows_kept",
-                          may_be_stopping  ? "leaving"
-                          : this->isolated ? "isolated"
-                                           : "documents_behind",
+                          MayBeStopping(member, now) ? "leaving"
+                          : this->isolated           ? "isolated"
+                                                     : "no_proof",
                           out);
-  liveness.flows_kept = !crashed;
-  return crashed;
+  liveness.flows_kept = !lost;
+  if (lost && !refused && !MayBeStopping(member, now))
+    this->SuspectDataCentre(member, now, out);
+  return lost;
 }
 
 void BackendPool::SuspectDataCentre(const PoolMember& unreachable,
@@ -258,8 +341,10 @@
                                   const char* reason,
                                   PacketOutput& out) {
   member.liveness.reachability = reachability;
-  if (reachability == Reachability::kReachable)
+  if (reachability == Reachability::kReachable) {
     member.liveness.flows_kept = false;
+    member.liveness.is_full = false;
+  }
   LogReachability(member,
                   IsUnavailable(member) ? Severity::kWarning : Severity::kInfo,
                   ToString(reachability), reason, out);
@@ -281,7 +366,8 @@
   out.common.decisions.push_back(decision);
 }
 
-void BackendPool::UpdateIsolation() {
+void BackendPool::UpdateIsolation(TimePoint now) {
+  this->recent_failures = 0;
   int failing = 0;
   int observed = 0;
   for (const auto& [vm, member] : this->members) {
@@ -293,6 +379,8 @@
         member.liveness.reachability == Reachability::kUnreachable;
     const bool suspect = member.liveness.reachability == Reachability::kSuspect;
     failing += unreachable || suspect ? 1 : 0;
+    const bool is_recent = member.liveness.suspected_at + kFailureWindow > now;
+    this->recent_failures += (unreachable || suspect) && is_recent ? 1 : 0;
   }
   this->isolated =
       failing >= kMinIsolatedBackends && failing > kIsolatedShare * observed;
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -45,6 +45,8 @@
   kRefused,       ///< The VM refused the connection.
   kTimedOut,      ///< No attempt was answered in time, but the control was.
   kInconclusive,  ///< Neither the backend server nor the control answered.
+  kLinkImpaired,  ///< The backend server did not answer, and the control
+                  ///< answered late or only a part of the attempts.
 };
 
 /** A health check for the daemon (src/shell) to run: it opens a connection to
@@ -104,8 +106,18 @@
                            ///< kFlapWindow after the previous one.
   TimePoint reported_at;   ///< When its loss was last reported to or by a peer.
   bool check_pending = false;  ///< A health check has not returned its result.
-  /** It refuses connections, but may still serve its open flows. */
+  /** It is unavailable, but may still serve its open flows. */
   bool flows_kept = false;
+  /** Failure signals of its own flows since its last answer. */
+  int unanswered_signals = 0;
+  /** Those of them that were retransmissions of data. */
+  int unanswered_retransmissions = 0;
+  int silent_checks = 0;  ///< Successive health checks that timed out.
+  /** First of the successive refusals; kNever if the last check was not
+   * refused. */
+  TimePoint refused_since = kNever;
+  /** Its flows were answered while it refused connections: it is full. */
+  bool is_full = false;
 
   bool operator==(const Liveness&) const = default;
 };
--- a/src/shell/checker_base.cc
+++ b/src/shell/checker_base.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <utility>
 
+#include "shell/clock_func.h"
+
 namespace cuminvane {
 namespace {
 
@@ -32,10 +34,7 @@
         [self = this->shared_from_this()](const asio::error_code& failure) {
           if (failure)
             return;
-          const bool conclusive =
-              self->control_answered || self->check.control == Endpoint{};
-          self->Finish(conclusive ? HealthCheckResult::kTimedOut
-                                  : HealthCheckResult::kInconclusive);
+          self->Finish(self->SilenceResult());
         });
     this->StartAttempt();
   }
@@ -47,11 +46,14 @@
                                            const asio::error_code& failure) {
       self->OnConnect(failure);
     });
-    if (this->check.control != Endpoint{} && !this->control_answered)
-      this->Connect(this->check.control, [self = this->shared_from_this()](
-                                             const asio::error_code& failure) {
-        self->control_answered |= IsAnswer(failure);
-      });
+    if (this->check.control != Endpoint{})
+      this->Connect(this->check.control,
+                    [self = this->shared_from_this(),
+                     due = ReadClock() + this->attempt_interval](
+                        const asio::error_code& failure) {
+                      if (IsAnswer(failure) && !self->finished)
+                        self->CountControlAnswer(ReadClock() <= due);
+                    });
     if (this->started_attempts >= this->check.attempts)
       return;
     this->attempt_timer.expires_after(this->attempt_interval);
@@ -69,6 +71,25 @@
                        std::move(on_connect));
   }
 
+  void CountControlAnswer(bool in_time) {
+    ++this->control_answers;
+    this->late_control_answers += in_time ? 0 : 1;
+  }
+
+  /** @return The result of a check whose backend server has not answered. */
+  HealthCheckResult SilenceResult() const {
+    if (this->check.control == Endpoint{})
+      return HealthCheckResult::kTimedOut;
+    // A control that answers nothing at all may be lost itself, which says
+    // nothing about the link.
+    if (this->control_answers == 0)
+      return HealthCheckResult::kInconclusive;
+    return this->control_answers < this->started_attempts ||
+                   this->late_control_answers > 0
+               ? HealthCheckResult::kLinkImpaired
+               : HealthCheckResult::kTimedOut;
+  }
+
   /** @return Whether the VM answered, even if it refused the connection. */
   static bool IsAnswer(const asio::error_code& failure) {
     return !failure || failure == asio::error::connection_refused ||
@@ -104,7 +125,8 @@
   asio::steady_timer attempt_timer;   ///< Starts the next connection attempt.
   std::deque<asio::ip::tcp::socket> sockets;  ///< Of all attempts.
   int started_attempts = 0;
-  bool control_answered = false;     ///< The control has answered an attempt.
+  int control_answers = 0;       ///< Attempts that the control has answered.
+  int late_control_answers = 0;  ///< Those that took an attempt interval.
   Microseconds attempt_interval{0};  ///< Time between connection attempts.
   bool finished = false;             ///< The callback has been called.
 };
