Soak: evacuate a data centre in every second run

Cause: nothing checked over real sockets that an evacuated data centre gets no opening packets.

Change: runs with an even seed have two data centres. `a`, which the balancers prefer, is evacuated 2 s after the start of the load until the faults end. Stand-in backend servers record each opening packet, retransmissions included.

--- a/src/standin/flow_backend_role.cc
+++ b/src/standin/flow_backend_role.cc
@@ -155,6 +155,10 @@
       if (!packet->unaltered)
         this->record << "event=altered at=" << ToUnixMicroseconds(ReadClock())
                      << "\n";
+      // Retransmissions are recorded too, unlike in RecordOpens.
+      if (packet->model.opens)
+        this->record << "event=opening balancer=" << ToString(from)
+                     << " at=" << ToUnixMicroseconds(ReadClock()) << "\n";
       this->model.OnPacket(ReadClock(), packet->model, this->random, this->out);
       this->RecordOpens(from);
       this->SendPackets(from.port);
--- a/tests/soak/figure_func.cc
+++ b/tests/soak/figure_func.cc
@@ -6,7 +6,10 @@
 #include <iostream>
 
 namespace cuminvane::soak {
+namespace {
 
+/** Prints the figures of one kind.
+ * @param index Index of the kind in the records of the callers. */
 void PrintFiguresOf(const emulate::RequestKind& kind,
                     size_t index,
                     const std::deque<emulate::CallerModel>& callers,
@@ -37,4 +40,20 @@
             << "\n";
 }
 
+}  // namespace
+
+void PrintFigures(const std::vector<emulate::RequestKind>& kinds,
+                  const std::deque<emulate::CallerModel>& callers,
+                  TimePoint issued_until,
+                  size_t violations) {
+  size_t resets = 0;
+  for (const emulate::CallerModel& caller : callers)
+    resets += caller.Resets().size();
+  std::cout << "figure=broken_promises value=" << violations
+            << " unit=promises\nfigure=flows_reset value=" << resets
+            << " unit=flows\n";
+  for (size_t kind = 0; kind < kinds.size(); ++kind)
+    PrintFiguresOf(kinds[kind], kind, callers, issued_until);
+}
+
 }  // namespace cuminvane::soak
--- a/tests/soak/figure_func.h
+++ b/tests/soak/figure_func.h
@@ -4,20 +4,23 @@
 #define CUMINVANE_TESTS_SOAK_FIGURE_FUNC_H_
 
 #include <deque>
+#include <vector>
 
 #include "emulate/caller_model.h"
 
 namespace cuminvane::soak {
 
 /**
- * Prints how many requests of a kind were answered, and how fast.
- * @param index Index of the kind in the records of the callers.
+ * Prints the numbers of broken guarantees and of flows reset, and how many
+ * requests of each kind were answered and how fast.
+ * @param kinds Kinds of request, in the order of the callers' records.
  * @param issued_until Later requests are not counted.
+ * @param violations Number of broken guarantees.
  */
-void PrintFiguresOf(const emulate::RequestKind& kind,
-                    size_t index,
-                    const std::deque<emulate::CallerModel>& callers,
-                    TimePoint issued_until);
+void PrintFigures(const std::vector<emulate::RequestKind>& kinds,
+                  const std::deque<emulate::CallerModel>& callers,
+                  TimePoint issued_until,
+                  size_t violations);
 
 }  // namespace cuminvane::soak
 
--- a/tests/soak/fleet_base.cc
+++ b/tests/soak/fleet_base.cc
@@ -206,14 +206,18 @@
 
 }  // namespace
 
-Fleet::Fleet(asio::io_context& context, std::string directory, std::string bin)
+Fleet::Fleet(asio::io_context& context,
+             std::string directory,
+             std::string bin,
+             bool has_two_data_centres)
     : directory(std::move(directory)),
       bin(std::move(bin)),
+      has_two_data_centres(has_two_data_centres),
       address_octet(static_cast<uint32_t>(getpid()) % kAddressOctetCount + 1),
       kinds(MakeKinds()),
       in_rotation(kBalancerCount, false) {
   std::filesystem::create_directories(this->directory + "/store/servers");
-  std::filesystem::create_directories(this->directory + "/store/op");
+  std::filesystem::create_directories(this->directory + "/store/op/evacuate");
   this->Publish();
   for (uint32_t tries = 0;
        tries < kAddressOctetCount &&
@@ -320,6 +324,16 @@
   std::filesystem::rename(path + ".new", path);
 }
 
+void Fleet::RequestEvacuation(bool is_requested) const {
+  const std::string path = this->directory + "/store/op/evacuate/a";
+  if (!is_requested) {
+    std::filesystem::remove(path);
+    return;
+  }
+  std::ofstream(path + ".new") << "{}";
+  std::filesystem::rename(path + ".new", path);
+}
+
 void Fleet::AddBackendServer(const std::string& service) {
   const auto number = static_cast<uint32_t>(this->backend_servers.size()) + 1;
   this->backend_servers.emplace_back(
@@ -328,8 +342,9 @@
           "--listen",
           ToString(this->MakeEndpoint(0x80, number, kBackendServerPort)),
           "--vm", std::to_string(0x1000 + number), "--serves", service,
-          "--slots", "3", "--queue", "12", "--dir", this->directory + "/store",
-          "--record",
+          "--slots", "3", "--queue", "12", "--data-centre",
+          this->has_two_data_centres && number % 2 == 0 ? "b" : "a", "--dir",
+          this->directory + "/store", "--record",
           this->directory + "/" + RecordFile(this->backend_servers.size())},
       this->directory + "/server-" + std::to_string(number) + ".log");
   this->backend_servers.back().Start();
--- a/tests/soak/fleet_base.h
+++ b/tests/soak/fleet_base.h
@@ -33,8 +33,13 @@
    * @param context Runs the proxies.
    * @param directory Directory for logs, settings and the files of the store.
    * @param bin Directory of the programs.
+   * @param has_two_data_centres Whether every second backend server is in data
+   * centre `b`; all other processes are in `a`.
    */
-  Fleet(asio::io_context& context, std::string directory, std::string bin);
+  Fleet(asio::io_context& context,
+        std::string directory,
+        std::string bin,
+        bool has_two_data_centres);
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -48,6 +53,15 @@
    * @param until Time at which it expires. */
   void WriteOddEntry(size_t form, TimePoint until) const;
 
+  /** Writes or removes the request to evacuate data centre `a`. The balancers
+   * are there too, so its servers are preferred. */
+  void RequestEvacuation(bool is_requested) const;
+  /** @return Whether there are two data centres, and a backend server, numbered
+   * from 0, is in data centre `a`. */
+  bool IsEvacuable(size_t server) const {
+    return this->has_two_data_centres && server % 2 == 0;
+  }
+
   /** @return Address of the callers that enter at a data centre, numbered from
    * 0. */
   Endpoint CallerEndpoint(size_t centre) const;
@@ -97,6 +111,7 @@
 
   std::string directory;
   std::string bin;
+  bool has_two_data_centres;
   uint32_t address_octet;  ///< Third octet of all addresses; separates runs
                            ///< that overlap.
   std::vector<emulate::RequestKind>
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -40,6 +40,10 @@
 constexpr Seconds kResetTolerance{5};
 /** Minimum share of requests that are answered after recovery. */
 constexpr double kMinServedRatio = 0.95;
+/** Seeds that this divides have two data centres and an evacuation. */
+constexpr uint64_t kEvacuationDivisor = 2;
+/** Time from the start of the load to the request, so that flows are open. */
+constexpr Seconds kEvacuationStart{2};
 /** Mean of the random part of the pause between two faults. */
 constexpr Milliseconds kMeanRandomPause{900};
 
@@ -49,12 +53,13 @@
   Soak(uint64_t seed,
        Seconds length,
        const std::string& directory,
-       const std::string& bin)
+       const std::string& bin,
+       bool has_evacuation)
       : seed(seed),
         random(seed),
         fault_random(seed),
         length(length),
-        fleet(context, directory, bin),
+        fleet(context, directory, bin, has_evacuation),
         tick(context) {
     for (size_t centre = 0; centre < kCallerCount; ++centre) {
       const Endpoint address = this->fleet.CallerEndpoint(centre);
@@ -71,6 +76,8 @@
     this->ends_at = this->faults_end + kRecoveryTime + kCheckDuration;
     this->next_fault_at = this->load_start + Seconds(2);
     this->fleet.WriteOddEntry(this->seed, this->ends_at);
+    if (this->fleet.IsEvacuable(0))
+      this->PlanEvacuation();
     return this->RunUntilEnd();
   }
 
@@ -85,11 +92,24 @@
         this->InjectFault(fault, ReadClock());
       });
     const bool passed = this->RunUntilEnd();
-    this->PrintFigures();
+    PrintFigures(this->fleet.Kinds(), this->callers, this->ends_at - Seconds(1),
+                 this->violations.size());
     return passed;
   }
 
  private:
+  /** Evacuates data centre `a` in the middle of the faults. */
+  void PlanEvacuation() {
+    this->RunAt(this->load_start + kEvacuationStart, [this] {
+      this->fleet.RequestEvacuation(true);
+      this->evacuation = {ReadClock(), kNever};
+    });
+    this->RunAt(this->faults_end, [this] {
+      this->evacuation.until = ReadClock();
+      this->fleet.RequestEvacuation(false);
+    });
+  }
+
   bool RunUntilEnd() {
     this->WaitForTick();
     this->context.run();
@@ -350,17 +370,9 @@
   }
 
   void CheckOpens() {
-    std::vector<std::string> balancers;
-    for (size_t index = 0; index < this->fleet.Balancers().size(); ++index)
-      balancers.push_back(this->fleet.PacketsAddress(index));
-    for (size_t server = 0; server < this->fleet.BackendServers().size();
-         ++server) {
-      const std::vector<RecordLine> records =
-          ReadRecords(this->fleet.Directory(), Fleet::RecordFile(server));
-      for (const std::string& open :
-           FindLateOpens(records, server, balancers, this->disturbances))
-        this->AddViolation("drain", open);
-    }
+    for (const auto& [guarantee, detail] :
+         FindOpenViolations(this->fleet, this->disturbances, this->evacuation))
+      this->AddViolation(guarantee, detail);
   }
 
   bool CheckGuarantees(const std::set<uint64_t>& versions) {
@@ -404,18 +416,6 @@
     return this->violations.empty();
   }
 
-  void PrintFigures() const {
-    size_t resets = 0;
-    for (const emulate::CallerModel& caller : this->callers)
-      resets += caller.Resets().size();
-    std::cout << "figure=broken_promises value=" << this->violations.size()
-              << " unit=promises\nfigure=flows_reset value=" << resets
-              << " unit=flows\n";
-    for (size_t kind = 0; kind < this->fleet.Kinds().size(); ++kind)
-      PrintFiguresOf(this->fleet.Kinds()[kind], kind, this->callers,
-                     this->ends_at - Seconds(1));
-  }
-
   uint64_t seed;
   RandomEngine random;
   /** Draws the faults only, so that a seed has the same faults in each run. */
@@ -434,6 +434,7 @@
   TimePoint next_fault_at;
   TimePoint server_fault_until;  ///< End of the latest backend server fault.
   std::vector<Disturbance> disturbances;
+  EvacuationTimes evacuation;           ///< Of data centre `a`.
   std::vector<std::string> violations;  ///< Lines to print.
 };
 
@@ -446,7 +447,8 @@
               const std::string& bin,
               bool is_demo) {
   try {
-    Soak soak(seed, length, directory, bin);
+    const bool has_evacuation = !is_demo && seed % kEvacuationDivisor == 0;
+    Soak soak(seed, length, directory, bin, has_evacuation);
     return is_demo ? soak.RunDemo() : soak.Run();
   } catch (const std::exception& error) {
     std::cout << "soak seed=" << seed << " error=\"" << error.what() << "\"\n";
