Evacuation of a data centre

Cause: the operator's request `op/evacuate/ZONE` was not read, so new flows still went to a data centre that had to be emptied. Servers that returned cold without a restart were treated as warm.

Change: the request becomes a section `[evacuation NAME]` of the list of VMs. Both planes place no new flows on servers there; the packet plane sends no opening packet and no retransmission of one. Open flows continue, and crashes are detected as before. New flows of a service without another data centre are reset with reason `evacuated`. `platform.evacuated_within_ms` shortens the time within which changes must be in force. The pool adopts a changed `cold_ms` of the same instance.

--- a/src/bin/cuminvanectl.cc
+++ b/src/bin/cuminvanectl.cc
@@ -117,6 +117,14 @@
             << " peers_alive=" << alive
             << " flows=" << status["flows"].asUInt64()
             << " unfinished=" << status["unfinished"].asUInt64() << "\n";
+  for (const Json::Value& one : status["evacuations"]) {
+    std::cout << "  evacuated data_centre=" << one["data_centre"].asString()
+              << " for_s=" << static_cast<int64_t>(one["seconds"].asDouble())
+              << " open_flows=" << one["flows"].asInt64()
+              << (one["requested"].asBool() ? ""
+                                            : " not_requested=store_restored")
+              << "\n";
+  }
 }
 
 /** Prints a line per balancer, or all statuses as JSON. */
--- a/src/decision/decision_func.cc
+++ b/src/decision/decision_func.cc
@@ -49,6 +49,8 @@
     line += " request=" + ToString(decision.number);
   if (decision.vm != VmId{})
     line += " vm=" + ToString(decision.vm);
+  if (!decision.data_centre.empty())
+    line += " data_centre=" + decision.data_centre;
   if (decision.code != ResultCode::kOk) {
     line += " code=";
     line += ToString(decision.code);
--- a/src/decision/decision_type.h
+++ b/src/decision/decision_type.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <string>
 
 #include "base/endpoint_type.h"
 #include "base/ids_type.h"
@@ -60,6 +61,7 @@
   Endpoint service;     ///< Service address at which an opaque flow arrived.
   int64_t count = 0;    ///< Number of flows concerned.
   Microseconds age{0};  ///< Age of the data on which the decision is based.
+  std::string data_centre;  ///< Data centre concerned; a word.
 
   bool operator==(const Decision&) const = default;
 };
--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -41,10 +41,14 @@
 
 void ReadPlatformSection(const SectionReader& section, Settings& settings) {
   settings.platform = section.Address("address");
-  settings.platform_timing = {
-      Milliseconds(std::llround(section.Decimal("in_force_ms"))),
-      static_cast<size_t>(section.Integer("watchers")),
-      section.Millis("pause_ms"), section.Millis("retry_ms")};
+  double in_force_ms = section.Decimal("in_force_ms");
+  const double evacuated_within_ms = section.Decimal("evacuated_within_ms");
+  if (evacuated_within_ms > 0)
+    in_force_ms = std::min(in_force_ms, evacuated_within_ms);
+  settings.platform_timing = {Milliseconds(std::llround(in_force_ms)),
+                              static_cast<size_t>(section.Integer("watchers")),
+                              section.Millis("pause_ms"),
+                              section.Millis("retry_ms")};
 }
 
 void ReadDocumentsSection(const SectionReader& section, Settings& settings) {
--- a/src/document/vmlist_func.cc
+++ b/src/document/vmlist_func.cc
@@ -68,12 +68,15 @@
     if (raw.name == "list")
       check.list.version =
           ConfigVersion{static_cast<uint64_t>(section.Integer("version"))};
+    if (SectionKind(raw.name) == "evacuation")
+      check.list.evacuated.push_back(section.Name());
     if (SectionKind(raw.name) != "vm")
       continue;
     CheckVm(document.file, raw, section, check.problems);
     check.list.vms.push_back(ReadVm(section));
   }
   std::ranges::sort(check.list.vms, {}, &Vm::id);
+  std::ranges::sort(check.list.evacuated);
   return check;
 }
 
--- a/src/document/vmlist_type.h
+++ b/src/document/vmlist_type.h
@@ -47,6 +47,9 @@
 struct VmList {
   ConfigVersion version;
   std::vector<Vm> vms;  ///< Sorted by id.
+  /** Data centres that get no new flows because the operator evacuates them;
+   * sorted. */
+  std::vector<std::string> evacuated;
 
   bool operator==(const VmList&) const = default;
 };
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -110,6 +110,25 @@
   return {};
 }
 
+/**
+ * Handles an opening packet for which there is no backend server. It is reset
+ * at once, except for a retransmission to an evacuated backend server: that one
+ * may have accepted the flow, which a reset would end.
+ * @param placed_at_vm Backend server that got the opening packet before; 0 if
+ * none.
+ */
+PacketAction OnNoBackend(const PacketContext& context,
+                         const OpaquePacket& packet,
+                         const char* reason,
+                         VmId placed_at_vm) {
+  const PoolMember* const member = context.backends.Find(placed_at_vm);
+  if (member == nullptr || !IsEvacuated(*member, context.now))
+    return ResetFlow(reason, packet, VmId{}, context);
+  LogFlowDecision("flow_dropped", reason, packet, placed_at_vm, Severity::kInfo,
+                  context);
+  return {};
+}
+
 /**
  * Establishes a flow with the caller's first packet after the opening packet.
  * Two backend servers may have accepted retransmissions of one opening packet;
@@ -229,7 +248,9 @@
   if (record != nullptr && record->established) {
     PoolMember* const member = context.backends.Find(record->backend);
     if (IsRetransmission(*record, packet, context.now))
-      return member == nullptr ? PacketAction{} : ForwardTo(*member);
+      return member == nullptr || IsEvacuated(*member, context.now)
+                 ? PacketAction{}
+                 : ForwardTo(*member);
     // The caller has reused its port for a new flow.
     UncountFlow(*record, context.backends);
     this->flows.Remove(*record);
@@ -265,7 +286,7 @@
       context.backends.Choose(route.ServiceOf(FlowIdOf(packet.key)), avoided,
                               depth_limit, context.now, context.random);
   if (choice.member == nullptr)
-    return ResetFlow("no_backend", packet, VmId{}, context);
+    return OnNoBackend(context, packet, choice.reason, avoided);
   if (retransmission < kLastRetransmission &&
       BackendPool::IsFull(*choice.member, depth_limit)) {
     UncountFlow(record, context.backends);
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -162,6 +162,11 @@
           guarded.WithLock([](const FlowShard& shard) { return shard.Size(); });
     return flows;
   }
+  /** @return The evacuated data centres, sorted by name. */
+  std::vector<EvacuatedDataCentre> Evacuations() const {
+    return this->pool.WithLock(
+        [](const BackendPool& backends) { return backends.Evacuations(); });
+  }
   /** @return A copy of the state of all backend servers, for the status page.
    */
   std::map<VmId, PoolMember> Backends() const {
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -31,7 +31,9 @@
 }  // namespace
 
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
-    : data_centre(DataCentreIdOf(data_centre)), limits(limits) {}
+    : data_centre(DataCentreIdOf(data_centre)),
+      limits(limits),
+      evacuations(data_centre) {}
 
 std::vector<VmId> BackendPool::Sync(const VmList& list,
                                     const Config& config,
@@ -53,10 +55,14 @@
       restarted.push_back(vm.id);
       this->ForgetInstance(member, now);
     }
-    if (member.incarnation != vm.incarnation) {
-      member.warm_up_ends_at = now + vm.warm_up_left;
+    const bool is_new_instance = member.incarnation != vm.incarnation;
+    if (is_new_instance)
       member.stopping_until = TimePoint{};
-    }
+    // A server can be cold again without a restart, for example when its data
+    // centre returns to service.
+    if (is_new_instance || member.listed_warm_up != vm.warm_up_left)
+      member.warm_up_ends_at = now + vm.warm_up_left;
+    member.listed_warm_up = vm.warm_up_left;
     if (vm.leaving)
       member.stopping_until = kNever;
     else if (member.stopping_until == kNever)
@@ -72,6 +78,7 @@
     member.slots = std::max<int64_t>(1, vm.slots);
     member.delisted_at = kNever;
   }
+  this->evacuations.Sync(list, now, this->members);
   this->IndexTags();
   return restarted;
 }
@@ -108,7 +115,8 @@
 }
 
 bool BackendPool::AcceptsFlows(const PoolMember& member, TimePoint now) const {
-  if (member.leaving || member.stopping_until > now || member.tag_conflict)
+  if (member.leaving || member.stopping_until > now || member.tag_conflict ||
+      IsEvacuated(member, now))
     return false;
   // The list entry of a running backend server can expire while the platform is
   // unreachable; it is restored soon. During this grace period the backend
@@ -133,6 +141,7 @@
   this->next_update_at = now + kUpdateInterval;
   this->UpdateLocalUtilisation(now, local_balancers);
   this->UpdateIsolation();
+  this->evacuations.Tick(now, this->members, out.common);
   for (auto& [vm, member] : this->members) {
     const bool unproven =
         IsUnavailable(member) ||
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -15,6 +15,7 @@
 #include "document/config_type.h"
 #include "document/settings_type.h"
 #include "document/vmlist_type.h"
+#include "packet/evacuation_base.h"
 #include "packet/pool_type.h"
 #include "packet/reset_guard_base.h"
 
@@ -156,6 +157,11 @@
    * which suggests that this balancer's own network has failed. */
   bool IsIsolated() const { return this->isolated; }
 
+  /** @return The evacuated data centres, sorted by name. */
+  std::vector<EvacuatedDataCentre> Evacuations() const {
+    return this->evacuations.Report(this->members);
+  }
+
   /** @return All known backend servers by VM. */
   const std::map<VmId, PoolMember>& Members() const { return this->members; }
 
@@ -259,6 +265,7 @@
   std::map<ServiceId, double> local_utilisation;
   ResetGuard guard;  ///< See Guard.
   uint64_t era = 0;  ///< Era of the list of VMs; see kVersionsPerEra.
+  PoolEvacuations evacuations;  ///< See Evacuations.
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
   size_t control_index =
--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -111,7 +111,7 @@
                                RandomEngine& random) {
   const std::vector<PoolMember*> all = this->Candidates(service, avoided, now);
   if (all.empty())
-    return {};
+    return {nullptr, ReasonForNone(this->members, service, now)};
   std::vector<PoolMember*> local;
   std::ranges::copy_if(all, std::back_inserter(local),
                        [](const PoolMember* member) { return member->local; });
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -120,6 +120,9 @@
   uint64_t data_centre = 0;  ///< Hash of its data centre's name.
   bool local = false;        ///< It is in this balancer's data centre.
   bool leaving = false;      ///< It is being drained and gets no new flows.
+  /** Until when its data centre is evacuated, so that it gets no new flows:
+   * kNever while that is requested, TimePoint{} if it is not evacuated. */
+  TimePoint evacuated_until;
   /** kNever while it is listed as leaving, later the end of the time for which
    * it still counts as stopping. */
   TimePoint stopping_until;
@@ -127,6 +130,8 @@
                               ///< this one gets no new flows.
   int64_t slots = 1;          ///< Requests that it processes at the same time.
   TimePoint warm_up_ends_at;  ///< End of its slow start.
+  /** Vm::warm_up_left of its last list entry. */
+  Milliseconds listed_warm_up{0};
   TimePoint delisted_at = kNever;  ///< When it left the list of VMs; kNever
                                    ///< while it is listed.
   int flows = 0;         ///< Open flows that this balancer has seen packets of.
@@ -145,6 +150,12 @@
          member.delisted_at != kNever;
 }
 
+/** @return Whether the backend server's data centre is evacuated, so that it
+ * gets no opening packet; its open flows continue. */
+inline bool IsEvacuated(const PoolMember& member, TimePoint now) {
+  return member.evacuated_until > now;
+}
+
 /** @return Whether the backend server is unreachable or refusing. */
 inline bool IsUnavailable(const PoolMember& member) {
   return member.liveness.reachability == Reachability::kUnreachable ||
--- a/src/placement/placement_base.h
+++ b/src/placement/placement_base.h
@@ -11,6 +11,7 @@
 #include "base/rendezvous_func.h"
 #include "base/result_type.h"
 #include "document/config_func.h"
+#include "document/evacuation_base.h"
 #include "document/vmlist_func.h"
 #include "placement/placement_type.h"
 
@@ -29,6 +30,7 @@
    */
   void Sync(const VmList& list, const Config& config, TimePoint now) {
     const bool first = this->backends.empty();
+    this->evacuations.Sync(list, now);
     std::map<VmId, BackendState> next;
     for (const Vm& vm : list.vms) {
       if (vm.role != VmRole::kBackend)
@@ -46,6 +48,7 @@
       state.leaving = vm.leaving ||
                       FindActiveChange(config, vm, now) != nullptr ||
                       !IsAllowedDataCentre(config, vm);
+      state.evacuated_until = this->evacuations.Until(vm.data_centre);
       next.emplace(vm.id, state);
     }
     this->backends = std::move(next);
@@ -214,8 +217,8 @@
                 service->data_centres.end());
   }
 
-  /** @return Whether the backend server may get new work; an ejected one may.
-   */
+  /** @return Whether the backend server may get requests of its flows; an
+   * ejected one may. */
   static bool AcceptsWork(const BackendState& state, TimePoint now) {
     return !state.leaving && state.draining_until <= now;
   }
@@ -255,8 +258,9 @@
   }
 
   /** @return The backend servers of the service, without `excluded`, that
-   * accept work and are not ejected. If all that accept work are ejected,
-   * returns these. `excluded` is VmId{} if none is excluded. */
+   * accept work, are not in an evacuated data centre and are not ejected. If
+   * all of these are ejected, returns them. `excluded` is VmId{} if none is
+   * excluded. */
   std::vector<BackendState*> FindCandidates(ServiceId service,
                                             VmId excluded,
                                             TimePoint now) {
@@ -264,7 +268,7 @@
     std::vector<BackendState*> ejected;
     for (auto& [vm, state] : this->backends) {
       if (state.service != service || vm == excluded ||
-          !AcceptsWork(state, now))
+          !AcceptsWork(state, now) || state.evacuated_until > now)
         continue;
       (state.ejected_until <= now ? active : ejected).push_back(&state);
     }
@@ -294,6 +298,7 @@
   }
 
   std::map<VmId, BackendState> backends;  ///< Keyed by VM.
+  EvacuationTable evacuations;  ///< Data centres that get no new flows.
 };
 
 }  // namespace cuminvane
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -25,6 +25,10 @@
   /** Whether the platform's list, a planned change or the service's
    * configuration excludes it from new work. */
   bool leaving = false;
+  /** Until when its data centre is evacuated: it gets no new flows but further
+   * requests of its flows. kNever while that is requested, TimePoint{} if it is
+   * not evacuated. */
+  TimePoint evacuated_until;
   /** Expiry of its last report that it is draining; it gets no new work until
    * then. TimePoint{} if its last load report did not say so. */
   TimePoint draining_until;
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -136,7 +136,9 @@
       true, true,
       FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
                     this->balancer.GetPacketPlane().FlowCount(),
-                    this->balancer.GetPacketPlane().Backends(), merged) +
+                    this->balancer.GetPacketPlane().Backends(),
+                    this->balancer.GetPacketPlane().Evacuations(), merged,
+                    now) +
           this->document_monitor.FormatMetrics(
               this->balancer.GetTokenPlane().Control().ReadSelfEvidence(now),
               now) +
@@ -336,7 +338,8 @@
   return FormatStatus(*this->balancer.GetTokenPlane().ReadBlackboard(),
                       this->balancer.GetTokenPlane().Load(),
                       this->balancer.GetTokenPlane().Backends(),
-                      this->balancer.GetPacketPlane().Backends(), merged,
+                      this->balancer.GetPacketPlane().Backends(),
+                      this->balancer.GetPacketPlane().Evacuations(), merged,
                       this->settings, ReadClock());
 }
 
--- a/src/shell/explain_func.cc
+++ b/src/shell/explain_func.cc
@@ -44,6 +44,9 @@
         "no class of the configuration uses the flow's service address"},
     ReasonMeaning{"no_backend",
                   "no backend server of its service took new flows"},
+    ReasonMeaning{"evacuated",
+                  "all data centres of its service that could take it are "
+                  "evacuated"},
     ReasonMeaning{
         "backend_full",
         "its backend server was full; the retransmission of the opening "
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -15,6 +15,10 @@
   return static_cast<Json::UInt64>(number);
 }
 
+double SecondsSince(TimePoint since, TimePoint now) {
+  return std::chrono::duration<double>(now - since).count();
+}
+
 Json::Value MembersToJson(const MemberView& view) {
   Json::Value members(Json::arrayValue);
   for (const MemberInfo& member : view.members) {
@@ -67,6 +71,21 @@
   return list;
 }
 
+Json::Value EvacuationsToJson(
+    const std::vector<EvacuatedDataCentre>& evacuations,
+    TimePoint now) {
+  Json::Value list(Json::arrayValue);
+  for (const EvacuatedDataCentre& one : evacuations) {
+    Json::Value entry;
+    entry["data_centre"] = one.name;
+    entry["seconds"] = SecondsSince(one.evacuation.since, now);
+    entry["requested"] = one.evacuation.until == kNever;
+    entry["flows"] = static_cast<Json::Int64>(one.flows);
+    list.append(entry);
+  }
+  return list;
+}
+
 Json::Value TargetsToJson(const Config& config) {
   Json::Value list(Json::arrayValue);
   for (const WorkClass& work : config.classes) {
@@ -88,6 +107,7 @@
                          const TokenPlaneLoad& load,
                          const std::map<VmId, BackendState>& backends,
                          const std::map<VmId, PoolMember>& opaque_backends,
+                         const std::vector<EvacuatedDataCentre>& evacuations,
                          const Metrics& metrics,
                          const Settings& settings,
                          TimePoint now) {
@@ -107,6 +127,7 @@
   json["members"] = MembersToJson(*blackboard.members.value);
   json["backends"] = BackendsToJson(backends, now);
   json["opaque_backends"] = OpaqueBackendsToJson(opaque_backends, now);
+  json["evacuations"] = EvacuationsToJson(evacuations, now);
   json["targets"] = TargetsToJson(*blackboard.config.value);
   json["metrics"] = metrics.ToJson(*blackboard.config.value);
   const LogLevels levels = CurrentLogLevels();
@@ -119,7 +140,9 @@
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics) {
+                          const std::vector<EvacuatedDataCentre>& evacuations,
+                          const Metrics& metrics,
+                          TimePoint now) {
   std::ostringstream out;
   out << "cuminvane_config_version "
       << ToString(blackboard.config.value->version)
@@ -142,6 +165,13 @@
         << "cuminvane_backend_incarnation" << labels << member.incarnation.value
         << "\n";
   }
+  for (const EvacuatedDataCentre& one : evacuations) {
+    const std::string labels = "{data_centre=\"" + one.name + "\"} ";
+    out << "cuminvane_evacuated" << labels << "1\n"
+        << "cuminvane_evacuated_seconds" << labels
+        << SecondsSince(one.evacuation.since, now) << "\n"
+        << "cuminvane_evacuated_flows" << labels << one.flows << "\n";
+  }
   metrics.WriteText(*blackboard.config.value, out);
   return out.str();
 }
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -8,9 +8,11 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "document/settings_type.h"
 #include "member/blackboard_base.h"
+#include "packet/evacuation_base.h"
 #include "packet/pool_type.h"
 #include "request/token_plane_base.h"
 #include "shell/metrics_base.h"
@@ -23,6 +25,7 @@
  * @param load Numbers of flows and requests.
  * @param backends Backend servers of requests.
  * @param opaque_backends Backend servers of opaque flows.
+ * @param evacuations Evacuated data centres.
  * @param metrics Counters, merged over all threads.
  * @param settings Settings of the process.
  * @param now Current time.
@@ -32,6 +35,7 @@
                          const TokenPlaneLoad& load,
                          const std::map<VmId, BackendState>& backends,
                          const std::map<VmId, PoolMember>& opaque_backends,
+                         const std::vector<EvacuatedDataCentre>& evacuations,
                          const Metrics& metrics,
                          const Settings& settings,
                          TimePoint now);
@@ -40,13 +44,17 @@
  * @param blackboard Snapshot of the shared state: documents and members.
  * @param flows Number of opaque flows in the flow table.
  * @param backends Backend servers of opaque flows.
+ * @param evacuations Evacuated data centres.
  * @param metrics Counters, merged over all threads.
+ * @param now Current time.
  * @return Counters and histograms in the Prometheus text format.
  */
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics);
+                          const std::vector<EvacuatedDataCentre>& evacuations,
+                          const Metrics& metrics,
+                          TimePoint now);
 
 /**
  * @param text Text to parse.
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -75,6 +75,12 @@
            "",
            "Time within which a published change must be active on this "
            "balancer, in milliseconds."},
+    KeyRow{
+        "platform", "evacuated_within_ms", ValueKind::kDecimal, "0", 0, 600000,
+        "",
+        "Time within which an evacuated data centre must get no new flows "
+        "from this balancer, in milliseconds; a change must be active within "
+        "the shorter of this and in_force_ms. 0: not stated."},
     KeyRow{"platform", "watchers", ValueKind::kInteger, "2", 1, 1000, "",
            "Number of balancers that watch the platform and pass changes on to "
            "the others. A data centre with eight balancers or more has one of "
--- a/src/table/vmlist_table.h
+++ b/src/table/vmlist_table.h
@@ -12,6 +12,10 @@
 inline constexpr std::array kVmListSections = {
     SectionRow{"list", false, true, "Version of the list."},
     SectionRow{"vm", true, false, "A VM; NAME is its number."},
+    SectionRow{"evacuation", true, false,
+               "A data centre that gets no new flows until the section is "
+               "removed; NAME is the data centre. Its servers are neither "
+               "leaving nor stopping, and open flows continue."},
 };
 
 inline constexpr std::array kVmListKeys = {
@@ -38,6 +42,8 @@
            "Requests that a backend server runs concurrently."},
     KeyRow{"vm", "cold_ms", ValueKind::kInteger, "0", 0, 3600000, "",
            "Remaining slow-start time of a backend server, in milliseconds."},
+    KeyRow{"evacuation", "reason", ValueKind::kWord, "operator", 0, 0, "",
+           "Who requested the evacuation, for operators."},
 };
 
 inline constexpr Schema kVmListSchema{kVmListSections, kVmListKeys};
--- a/tests/document_fetch_test.cc
+++ b/tests/document_fetch_test.cc
@@ -8,6 +8,7 @@
 #include "document/fetch_plan_base.h"
 #include "document/pacer_base.h"
 #include "message/message_func.h"
+#include "packet/pool_base.h"
 #include "tests/test_text.h"
 
 using namespace cuminvane;
@@ -104,6 +105,22 @@
   CHECK(*member.Current() == *watcher.Current());
 }
 
+/** A balancer that starts during an evacuation, and that the store turns away,
+ * must not place flows in the data centre. */
+TEST(DocumentFetches, StartingBalancerGetsEvacuationsFromAPeer) {
+  Store running;
+  Store starting;
+  Offer(running, ListOf(10, {{1, 1}}) + "[evacuation a]\nreason = operator\n");
+  RunFetches(running, starting, Milliseconds(3000));
+  CHECK(starting.Current() != nullptr);
+  BackendPool pool("a", FlowLimits{});
+  pool.Sync(*starting.Current(), Config{}, now);
+  const PoolChoice choice =
+      pool.Choose(ServiceIdOf("desk"), VmId{}, 0, now, random);
+  CHECK(choice.member == nullptr);
+  STRCMP_EQUAL("evacuated", choice.reason);
+}
+
 /** A member with other contents must not take the result of the delta. */
 TEST(DocumentFetches, DeltaWithAnotherResultIsRefusedAndTheDocumentFetched) {
   Store watcher;
--- a/tests/packet_fake.h
+++ b/tests/packet_fake.h
@@ -96,8 +96,10 @@
                  : classes));
   }
 
-  /** Offers the next version of the VM list, with these backend servers. */
-  void OfferVmList(const std::vector<VmListEntry>& vms) {
+  /** Offers the next version of the VM list, with these backend servers.
+   * @param evacuated Evacuated data centres. */
+  void OfferVmList(const std::vector<VmListEntry>& vms,
+                   const std::vector<std::string>& evacuated = {}) {
     std::string text =
         "[list]\nversion = " + std::to_string(++this->list_version) + "\n";
     for (const VmListEntry& vm : vms)
@@ -108,6 +110,8 @@
               std::to_string(vm.id % 256) +
               ":80\nslots = 2\ncold_ms = " + std::to_string(vm.warm_up_ms) +
               "\nstate = " + (vm.leaving ? "leaving" : "live") + "\n";
+    for (const std::string& data_centre : evacuated)
+      text += "[evacuation " + data_centre + "]\nreason = operator\n";
     this->OfferDocument(DocumentKind::kVmList, text);
   }
 
--- a/tests/plain/watcher_test.cc
+++ b/tests/plain/watcher_test.cc
@@ -305,6 +305,15 @@
     return this->InTime([&] { return this->Listed() == leaving; });
   }
 
+  /** @return Whether the active list has exactly these evacuations in time. */
+  bool Evacuates(const std::vector<std::string>& data_centres) const {
+    return this->InTime([&] {
+      const std::lock_guard hold(this->mutex);
+      return this->list.Current() != nullptr &&
+             this->list.Current()->evacuated == data_centres;
+    });
+  }
+
   /** @return Whether the version of the configuration is active in time. */
   bool HasConfig(uint64_t version) const {
     return this->InTime([&] {
@@ -422,6 +431,24 @@
   CHECK(watched.Confirmations() > confirmations);
 }
 
+/** The request and its removal are the only changes in the store; an odd one
+ * beside it must not delay them. */
+TEST(Watcher, EvacuationIsListedUntilItsItemIsRemoved) {
+  FakeStore store;
+  store.Put("servers/i-1", Entry("ready"));
+  store.Put("op/evacuate/a b", "{}");
+  const WatchedDocuments watched(store);
+  CHECK(watched.Becomes({{1, false}}));
+  LONGS_EQUAL(1, watched.IgnoredItems());
+  store.Put("op/evacuate/zone-a", "{}");
+  CHECK(watched.Evacuates({"zone-a"}));
+  store.Put("op/evacuate/zone-b", "{}");
+  CHECK(watched.Evacuates({"zone-a", "zone-b"}));
+  store.Put("op/evacuate/zone-a", "");
+  CHECK(watched.Evacuates({"zone-b"}));
+  CHECK(watched.Becomes({{1, false}}));
+}
+
 TEST(Watcher, InvalidListIsNotConfirmed) {
   FakeStore store;
   store.Put("vms", "[list]\nversion = none\n");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,6 +6,7 @@
 #include "base/ini_func.h"
 #include "base/schema_func.h"
 #include "document/config_func.h"
+#include "document/settings_func.h"
 #include "document/vmlist_func.h"
 #include "platform/packet_func.h"
 #include "platform/record_func.h"
@@ -175,6 +176,24 @@
   LONGLONGS_EQUAL(217, platform::VmListVersion({1, 217}));
 }
 
+/** The pace of reads must follow the shorter of both bounds. */
+TEST(Platform, ChangesAreInForceWithinTheShorterBound) {
+  const auto within = [](const std::string& lines) {
+    const SettingsCheck check = CheckSettings(
+        "s",
+        "[vm]\nid = 1\ndata_centre = a\n[listen]\npeer = 10.0.0.1:1\n"
+        "control = 10.0.0.1:2\npackets = 10.0.0.1:3\nready = "
+        "10.0.0.1:4\n[platform]\naddress = 10.0.0.9:1\n" +
+            lines);
+    STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+    return check.settings.platform_timing.in_force_within.count();
+  };
+  LONGS_EQUAL(6000, within("in_force_ms = 6000\n"));
+  LONGS_EQUAL(6000, within("in_force_ms = 6000\nevacuated_within_ms = 0\n"));
+  LONGS_EQUAL(5000, within("in_force_ms = 6000\nevacuated_within_ms = 5000\n"));
+  LONGS_EQUAL(3000, within("in_force_ms = 3000\nevacuated_within_ms = 5000\n"));
+}
+
 TEST(Platform, MalformedStoreAnswersAreRejected) {
   for (const char* const body :
        {"", "[]", "{}", R"({"items":[]})", R"({"current_rev":1})",
--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -204,6 +204,45 @@
     ListWith("servers/i-2", value);
 }
 
+/** A request whose value is damaged must not keep flows in the data centre. */
+TEST(Translation, EvacuationIsListedWhateverItsValue) {
+  for (const std::string& value :
+       {std::string("{}"), std::string(), std::string("7"), std::string("{"),
+        std::string("\xff"), std::string(200'000, '[')}) {
+    const platform::Translation translation = platform::TranslateVmList(
+        {{"op/evacuate/zone-b", value}, {"op/evacuate/zone-a", value}}, 5);
+    const VmListCheck check = CheckVmList("v", translation.text);
+    CHECK(check.problems.empty());
+    CHECK(check.list.evacuated ==
+          (std::vector<std::string>{"zone-a", "zone-b"}));
+    CHECK(translation.problems.empty());
+  }
+}
+
+/** An odd name must neither freeze the list nor hide a valid request. */
+TEST(Translation, EvacuationWithAnOddNameIsIgnored) {
+  for (const std::string& name :
+       {std::string(), std::string(" "), std::string("zone b"),
+        std::string("zone-b/"), std::string("zone-b/x"),
+        std::string("zone-b]\n[vm 3"), std::string("\xff"),
+        std::string("z\0b", 3), std::string(2000, 'z'),
+        std::string(1'000'000, 'z')}) {
+    const platform::Translation translation =
+        platform::TranslateVmList({{"op/evacuate/" + name, "{}"},
+                                   {"op/evacuate/zone-a", "{}"},
+                                   {"servers/i-1", Entry()}},
+                                  5);
+    const VmListCheck check = CheckVmList("v", translation.text);
+    STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+    CHECK(check.list.evacuated == std::vector<std::string>{"zone-a"});
+    LONGS_EQUAL(1, check.list.vms.size());
+    LONGS_EQUAL(1, translation.problems.size());
+    CHECK_CONTAINS("action=left_out", translation.problems.front());
+    CHECK_CONTAINS("item=\"op/evacuate/", translation.problems.front());
+    CHECK(translation.problems.front().size() < 2000);
+  }
+}
+
 /** Leading zeros of a port are a matter of notation. */
 TEST(Translation, PortWithLeadingZerosIsThePort) {
   const std::string port = std::string(250, '0') + "80";
