Failure detection: less delay where a full server or the own link is ruled out

Change: a check that times out is proof unless the server has just answered flows, or the own link is in doubt (an inconclusive check within a second, or eight failures and fewer than five conclusive checks in a row). A second refusal is proof in a service that isn't busy, and if all servers of another data centre refuse, as behind a cut that resets connections.

--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -220,9 +220,12 @@
                    FailureSignal failure_signal,
                    TimePoint since,
                    TimePoint now) const;
-  /** @return Whether this balancer's own link may be the reason why a check
-   * timed out, so that the check has to be repeated. */
-  bool DoubtsTimeout(const Liveness& liveness, TimePoint now) const;
+  /** Records whether a check showed that this balancer's own link works. */
+  void OnLinkEvidence(bool is_conclusive, TimePoint now);
+  /** @return Whether a check that timed out has to be confirmed by a second
+   * one, because the backend server has just answered its flows, or because the
+   * cause may be this balancer's own link. */
+  bool NeedsSecondCheck(const Liveness& liveness, TimePoint now) const;
   /**
    * Marks a backend server as unavailable after a check without success.
    * @return Whether its open flows are lost. They are kept unless the flows
@@ -233,6 +236,13 @@
                   HealthCheckResult result,
                   TimePoint now,
                   PacketOutput& out);
+  /** @return Whether a backend server that refuses connections may be full:
+   * its service is busy, or this balancer can't tell. */
+  bool MayBeFull(const PoolMember& member) const;
+  /** @return Whether the path to the backend server's data centre, another than
+   * this balancer's, seems cut: several of its servers refuse connections, and
+   * none has answered since. */
+  bool IsDataCentreCut(const PoolMember& member, TimePoint now) const;
   /** @return Whether a backend server that refuses connections has crashed: it
    * is not stopping, and its open flows make no progress. */
   bool HasCrashed(const PoolMember& member, TimePoint now) const;
@@ -284,9 +294,11 @@
   bool isolated = false;     ///< See IsIsolated.
   /** Backend servers whose health check failed or runs since a short time. */
   int recent_failures = 0;
-  /** When the control of a check last answered late or in part; TimePoint{} if
-   * never. */
-  TimePoint link_impaired_at;
+  /** Successive checks with a conclusive result, within a short time. */
+  int conclusive_checks = 0;
+  TimePoint last_conclusive_at;    ///< Last conclusive result of a check.
+  TimePoint last_inconclusive_at;  ///< Last inconclusive one; TimePoint{} if
+                                   ///< none.
 };
 
 }  // namespace cuminvane
--- a/src/packet/pool_health.cc
+++ b/src/packet/pool_health.cc
@@ -37,16 +37,30 @@
 constexpr int kManyFailures = 8;
 /** Failures within this time count as simultaneous. */
 constexpr Milliseconds kFailureWindow{1000};
-/** Time without trust in checks that time out after a control has answered late
- * or in part. */
+/** This many conclusive checks in a row show that the own link works: if half
+ * of the connections were lost, one in two checks would be inconclusive. */
+constexpr int kLinkProofChecks = 4;
+/** Time after an inconclusive check in which the own link is in doubt. */
 constexpr Milliseconds kLinkDoubt{1000};
+/** A backend server whose flows were answered within this time before a check
+ * makes progress, so one check that times out is no proof. */
+constexpr Milliseconds kRecentProgress{500};
 /** A full backend server answers the requests in its queue within this time, so
  * one that refuses connections and answers none of its flows for longer has
  * crashed. */
 constexpr Milliseconds kSilenceOfCrash{600};
-/** Time between two refusals that belong to one crash; below the interval of
- * rechecks. */
-constexpr Milliseconds kMinRefusalSpan{400};
+/** Time between the first refusal and one that is proof, if the backend server
+ * may be full; below the interval of rechecks. */
+constexpr Milliseconds kRefusalSpan{400};
+/** The same if its service is not busy, so that a queue can't be the reason why
+ * an answer is overdue. */
+constexpr Milliseconds kIdleRefusalSpan{80};
+/** If this many backend servers of another data centre refuse connections and
+ * none answers, the path to it is cut. */
+constexpr int kCutRefusals = 3;
+/** Share of busy slots from which a backend server of the service may be full;
+ * slow ones are full before the mean is. */
+constexpr double kBusyUtilisation = 0.5;
 /** Retransmissions without an answer that prove a crash together with
  * refusals; a single one may be due to a lost packet. */
 constexpr int kRetransmissionsOfCrash = 2;
@@ -229,29 +243,30 @@
     this->MarkRecovered(*member, "check_answered", now, out);
     return false;
   }
-  if (result == HealthCheckResult::kLinkImpaired)
-    this->link_impaired_at = now;
-  const bool inconclusive = result == HealthCheckResult::kInconclusive ||
-                            result == HealthCheckResult::kLinkImpaired ||
-                            (result == HealthCheckResult::kTimedOut &&
-                             this->DoubtsTimeout(liveness, now));
-  if (inconclusive && liveness.reachability != Reachability::kReachable) {
+  const bool is_silent = result == HealthCheckResult::kTimedOut;
+  this->OnLinkEvidence(result != HealthCheckResult::kInconclusive, now);
+  const bool is_confirmed =
+      !is_silent || !this->NeedsSecondCheck(liveness, now);
+  liveness.silent_checks +=
+      is_silent || result == HealthCheckResult::kInconclusive ? 1 : 0;
+  if ((result == HealthCheckResult::kInconclusive || !is_confirmed) &&
+      liveness.reachability != Reachability::kReachable) {
     // The backend server gets no new flows while it is suspected, but its open
     // ones are kept. The next check has another control.
-    liveness.next_check_at = now + kInconclusiveRecheck;
-    liveness.silent_checks += result == HealthCheckResult::kTimedOut ? 1 : 0;
     this->SetReachability(*member, Reachability::kSuspect,
-                          result == HealthCheckResult::kInconclusive
-                              ? "own_link_silent"
-                              : "own_link_doubtful",
-                          out);
+                          is_silent ? "unconfirmed" : "own_link_silent", out);
+    if (is_silent)
+      this->StartHealthCheck(*member, liveness.failure_signal, now, out);
+    else
+      liveness.next_check_at = now + kInconclusiveRecheck;
     return false;
   }
-  const bool stalled_meanwhile = result == HealthCheckResult::kTimedOut &&
-                                 this->last_stall_at >= liveness.suspected_at;
+  const bool stalled_meanwhile =
+      is_silent && this->last_stall_at >= liveness.suspected_at;
   if (IsUnavailable(*member)) {
     liveness.next_check_at = now + this->limits.recheck_interval;
     const bool serves_flows =
+        is_silent &&
         liveness.last_alive_at + this->limits.recheck_interval > now;
     return liveness.flows_kept && !serves_flows && !stalled_meanwhile &&
            this->LosesFlows(*member, result, now, out);
@@ -274,11 +289,57 @@
   return this->LosesFlows(*member, result, now, out);
 }
 
-bool BackendPool::DoubtsTimeout(const Liveness& liveness, TimePoint now) const {
-  if (this->link_impaired_at != TimePoint{} &&
-      this->link_impaired_at + kLinkDoubt > now)
-    return true;
-  return this->recent_failures >= kManyFailures && liveness.silent_checks == 0;
+void BackendPool::OnLinkEvidence(bool is_conclusive, TimePoint now) {
+  if (!is_conclusive) {
+    this->last_inconclusive_at = now;
+    this->conclusive_checks = 0;
+    return;
+  }
+  if (this->last_conclusive_at + kFailureWindow <= now)
+    this->conclusive_checks = 0;
+  ++this->conclusive_checks;
+  this->last_conclusive_at = now;
+}
+
+bool BackendPool::NeedsSecondCheck(const Liveness& liveness,
+                                   TimePoint now) const {
+  if (liveness.silent_checks > 0)
+    return false;
+  const bool link_doubtful = (this->last_inconclusive_at != TimePoint{} &&
+                              this->last_inconclusive_at + kLinkDoubt > now) ||
+                             (this->recent_failures >= kManyFailures &&
+                              this->conclusive_checks <= kLinkProofChecks);
+  const bool makes_progress =
+      liveness.unanswered_signals == 0 &&
+      liveness.last_alive_at + kRecentProgress > liveness.suspected_at;
+  return link_doubtful || makes_progress;
+}
+
+bool BackendPool::MayBeFull(const PoolMember& member) const {
+  const auto found = this->local_utilisation.find(member.service);
+  return found == this->local_utilisation.end() ||
+         found->second >= kBusyUtilisation;
+}
+
+bool BackendPool::IsDataCentreCut(const PoolMember& member,
+                                  TimePoint now) const {
+  if (member.local)
+    return false;
+  int refusals = 0;
+  TimePoint first_refusal = kNever;
+  TimePoint last_answer;
+  for (const auto& [vm, other] : this->members) {
+    if (other.data_centre != member.data_centre)
+      continue;
+    const Liveness& liveness = other.liveness;
+    last_answer = std::max(last_answer, liveness.last_alive_at);
+    if (liveness.refused_since == kNever || MayBeStopping(other, now))
+      continue;
+    ++refusals;
+    first_refusal = std::min(first_refusal, liveness.refused_since);
+  }
+  return refusals >= kCutRefusals && first_refusal + kIdleRefusalSpan <= now &&
+         last_answer < first_refusal;
 }
 
 bool BackendPool::HasCrashed(const PoolMember& member, TimePoint now) const {
@@ -288,7 +349,13 @@
   if (MayBeStopping(member, now) || this->isolated ||
       !this->guard.DocumentsShowStops(now))
     return false;
-  return liveness.refused_since + kMinRefusalSpan <= now &&
+  if (this->IsDataCentreCut(member, now))
+    return true;
+  if (!this->MayBeFull(member))
+    return liveness.refused_since + kIdleRefusalSpan <= now &&
+           liveness.last_alive_at + kIdleRefusalSpan <= now &&
+           liveness.unanswered_signals > 0;
+  return liveness.refused_since + kRefusalSpan <= now &&
          liveness.last_alive_at + kSilenceOfCrash <= now &&
          liveness.unanswered_retransmissions >= kRetransmissionsOfCrash;
 }
@@ -300,14 +367,15 @@
   Liveness& liveness = member.liveness;
   const bool refused = result == HealthCheckResult::kRefused;
   const bool was_unavailable = IsUnavailable(member);
-  if (refused && liveness.refused_since == kNever)
+  if (refused && liveness.refused_since == kNever) {
     liveness.refused_since = now;
+    liveness.next_check_at = now + kIdleRefusalSpan;
+  }
   if (!refused || liveness.reachability != Reachability::kRefusing)
     this->SetReachability(
         member, refused ? Reachability::kRefusing : Reachability::kUnreachable,
         refused ? "check_refused" : "check_silent", out);
-  const bool lost =
-      refused ? this->HasCrashed(member, now) : liveness.unanswered_signals > 0;
+  const bool lost = !refused || this->HasCrashed(member, now);
   if (!lost && !was_unavailable)
     this->LogReachability(member, Severity::kInfo, "flows_kept",
                           MayBeStopping(member, now) ? "leaving"
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -44,9 +44,8 @@
   kAnswered,      ///< A connection was accepted.
   kRefused,       ///< The VM refused the connection.
   kTimedOut,      ///< No attempt was answered in time, but the control was.
-  kInconclusive,  ///< Neither the backend server nor the control answered.
-  kLinkImpaired,  ///< The backend server did not answer, and the control
-                  ///< answered late or only a part of the attempts.
+  kInconclusive,  ///< The backend server did not answer, and the control left
+                  ///< more than one connection unanswered.
 };
 
 /** A health check for the daemon (src/shell) to run: it opens a connection to
@@ -112,7 +111,7 @@
   int unanswered_signals = 0;
   /** Those of them that were retransmissions of data. */
   int unanswered_retransmissions = 0;
-  int silent_checks = 0;  ///< Successive health checks that timed out.
+  int silent_checks = 0;  ///< Successive health checks without an answer.
   /** First of the successive refusals; kNever if the last check was not
    * refused. */
   TimePoint refused_since = kNever;
--- a/src/shell/checker_base.cc
+++ b/src/shell/checker_base.cc
@@ -2,13 +2,12 @@
 
 #include "shell/checker_base.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <utility>
 
-#include "shell/clock_func.h"
-
 namespace cuminvane {
 namespace {
 
@@ -47,13 +46,10 @@
       self->OnConnect(failure);
     });
     if (this->check.control != Endpoint{})
-      this->Connect(this->check.control,
-                    [self = this->shared_from_this(),
-                     due = ReadClock() + this->attempt_interval](
-                        const asio::error_code& failure) {
-                      if (IsAnswer(failure) && !self->finished)
-                        self->CountControlAnswer(ReadClock() <= due);
-                    });
+      this->Connect(this->check.control, [self = this->shared_from_this()](
+                                             const asio::error_code& failure) {
+        self->control_answers += IsAnswer(failure) ? 1 : 0;
+      });
     if (this->started_attempts >= this->check.attempts)
       return;
     this->attempt_timer.expires_after(this->attempt_interval);
@@ -71,23 +67,15 @@
                        std::move(on_connect));
   }
 
-  void CountControlAnswer(bool in_time) {
-    ++this->control_answers;
-    this->late_control_answers += in_time ? 0 : 1;
-  }
-
-  /** @return The result of a check whose backend server has not answered. */
+  /** @return The result of a check whose backend server has not answered. A
+   * control that leaves more than one connection unanswered shows that the link
+   * is congested; a single one may have been sent too late. */
   HealthCheckResult SilenceResult() const {
-    if (this->check.control == Endpoint{})
-      return HealthCheckResult::kTimedOut;
-    // A control that answers nothing at all may be lost itself, which says
-    // nothing about the link.
-    if (this->control_answers == 0)
-      return HealthCheckResult::kInconclusive;
-    return this->control_answers < this->started_attempts ||
-                   this->late_control_answers > 0
-               ? HealthCheckResult::kLinkImpaired
-               : HealthCheckResult::kTimedOut;
+    const bool conclusive =
+        this->check.control == Endpoint{} ||
+        this->control_answers >= std::max(1, this->started_attempts - 1);
+    return conclusive ? HealthCheckResult::kTimedOut
+                      : HealthCheckResult::kInconclusive;
   }
 
   /** @return Whether the VM answered, even if it refused the connection. */
@@ -125,8 +113,7 @@
   asio::steady_timer attempt_timer;   ///< Starts the next connection attempt.
   std::deque<asio::ip::tcp::socket> sockets;  ///< Of all attempts.
   int started_attempts = 0;
-  int control_answers = 0;       ///< Attempts that the control has answered.
-  int late_control_answers = 0;  ///< Those that took an attempt interval.
+  int control_answers = 0;  ///< Attempts that the control has answered.
   Microseconds attempt_interval{0};  ///< Time between connection attempts.
   bool finished = false;             ///< The callback has been called.
 };
--- a/tests/packet_fake.h
+++ b/tests/packet_fake.h
@@ -29,6 +29,9 @@
  * services `desk` and `files`. */
 inline const Endpoint kSplitAddress = *ParseEndpoint("198.18.0.3:443");
 
+/** Address of another balancer. */
+inline const Endpoint kPeerAddress = *ParseEndpoint("10.0.0.2:1");
+
 /** One backend server in the VM list. */
 struct VmListEntry {
   uint64_t id = 0;
@@ -221,6 +224,25 @@
   plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
 }
 
+/** Opens a flow and lets its answer become overdue. @return The placement. */
+inline PacketAction OpenUnansweredFlow(FakePacketPlane& plane,
+                                       const FlowKey& key) {
+  const PacketAction opened = plane.EstablishFlow(key);
+  plane.SendData(key, opened.tag, 101, 1000, 50);
+  plane.RunFor(Milliseconds(120));
+  return opened;
+}
+
+/** Lets the caller of OpenUnansweredFlow retransmit its data twice. */
+inline void RetransmitTwice(FakePacketPlane& plane,
+                            const FlowKey& key,
+                            const PacketAction& opened) {
+  for (int copy = 0; copy < 2; ++copy) {
+    plane.RunFor(Milliseconds(300));
+    plane.SendData(key, opened.tag, 101, 1000, 50);
+  }
+}
+
 }  // namespace cuminvane::test
 
 #endif  // CUMINVANE_TESTS_PACKET_FAKE_H_
--- a/tests/reset_guard_test.cc
+++ b/tests/reset_guard_test.cc
@@ -9,7 +9,6 @@
 namespace {
 
 const FlowTag kUnknownTag{4711};
-const Endpoint kPeerAddress = *ParseEndpoint("10.0.0.2:1");
 
 PacketAction SendWithUnknownTag(FakePacketPlane& plane) {
   return plane.SendData(FakePacketPlane::KeyOfCaller(1), kUnknownTag, 101, 1000,
@@ -26,24 +25,6 @@
   plane.out.Clear();
 }
 
-/** Opens a flow and lets its answer become overdue. @return The placement. */
-PacketAction OpenUnansweredFlow(FakePacketPlane& plane, const FlowKey& key) {
-  const PacketAction opened = plane.EstablishFlow(key);
-  plane.SendData(key, opened.tag, 101, 1000, 50);
-  plane.RunFor(Milliseconds(120));
-  return opened;
-}
-
-/** Lets the caller of OpenUnansweredFlow retransmit its data twice. */
-void RetransmitTwice(FakePacketPlane& plane,
-                     const FlowKey& key,
-                     const PacketAction& opened) {
-  for (int copy = 0; copy < 2; ++copy) {
-    plane.RunFor(Milliseconds(300));
-    plane.SendData(key, opened.tag, 101, 1000, 50);
-  }
-}
-
 }  // namespace
 
 TEST_GROUP(ResetGuard){};
@@ -228,126 +209,6 @@
   LONGS_EQUAL(1, plane.out.resets.size());
 }
 
-/** A server at its connection limit refuses health checks, however often, and
- * goes on to answer its flows. */
-TEST(ResetGuard, FullServerThatRefusesHealthChecksKeepsItsFlows) {
-  FakePacketPlane plane;
-  plane.OfferVmList({{1}, {2}});
-  plane.RunFor(Milliseconds(5000));
-  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
-  const PacketAction opened = OpenUnansweredFlow(plane, key);
-  const FlowKey answered_key = FakePacketPlane::KeyOfCaller(2);
-  uint32_t acknowledged = 1000;
-  plane.SendData(answered_key, opened.tag, 101, acknowledged, 0);
-  for (int check = 0; check < 4; ++check) {
-    plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
-    RetransmitTwice(plane, key, opened);
-    acknowledged += 500;
-    plane.SendData(answered_key, opened.tag, 101, acknowledged, 0);
-    CHECK(plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(10 + check))
-              .backend != opened.backend);
-  }
-  LONGS_EQUAL(0, plane.out.resets.size());
-  // It has room again: it was full and not lost, so it is trusted at once.
-  plane.EndHealthCheck(opened.backend, HealthCheckResult::kAnswered);
-  plane.OfferVmList({{opened.backend.value}});
-  CHECK(plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(20)).backend ==
-        opened.backend);
-  CHECK(plane.PoolMemberOf(opened.backend).liveness.trusted_from <= plane.now);
-}
-
-/** One late answer and one refusal are no proof: the queue of a full server is
- * long, and a packet may be lost. */
-TEST(ResetGuard, RefusalWithoutRetransmissionsResetsNoFlow) {
-  FakePacketPlane plane;
-  plane.OfferVmList({{1}, {2}});
-  plane.RunFor(Milliseconds(5000));
-  const PacketAction opened =
-      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
-  for (int check = 0; check < 3; ++check) {
-    plane.EndHealthCheck(opened.backend, HealthCheckResult::kRefused);
-    plane.RunFor(Milliseconds(600));
-  }
-  LONGS_EQUAL(0, plane.out.resets.size());
-}
-
-/** Peers report a server whose flows have nothing unanswered here; the check
- * that follows is lost on this balancer's own link. */
-TEST(ResetGuard, SilentCheckAfterAPeersReportResetsNoFlow) {
-  FakePacketPlane plane;
-  plane.OfferVmList({{1}, {2}});
-  plane.RunFor(Milliseconds(5000));
-  const FlowKey key = FakePacketPlane::KeyOfCaller(1);
-  const PacketAction opened = plane.EstablishFlow(key);
-  plane.RunFor(Milliseconds(1000));
-  plane.balancer->OnPeer(
-      plane.now, kPeerAddress,
-      Encode(ReachabilityUpdate{{opened.backend, Incarnation{1}}}),
-      plane.random, plane.out);
-  LONGS_EQUAL(1, plane.out.checks.size());
-  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
-  LONGS_EQUAL(0, plane.out.resets.size());
-  CHECK(plane.SendData(key, opened.tag, 101, 1000, 50).type ==
-        PacketActionType::kForward);
-  CHECK(plane.SendOpeningPacket(FakePacketPlane::KeyOfCaller(2)).backend !=
-        opened.backend);
-  // Its own flow now shows the loss.
-  plane.RunFor(Milliseconds(700));
-  plane.EndHealthCheck(opened.backend, HealthCheckResult::kTimedOut);
-  LONGS_EQUAL(1, plane.out.resets.size());
-}
-
-/** On a congested link a part of the connections to the control is lost too. */
-TEST(ResetGuard, TimeoutsAreNoProofWhileTheOwnLinkIsImpaired) {
-  FakePacketPlane plane;
-  plane.OfferVmList({{1}, {2}});
-  plane.RunFor(Milliseconds(5000));
-  const PacketAction first =
-      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(1));
-  plane.EndHealthCheck(first.backend, HealthCheckResult::kLinkImpaired);
-  const PacketAction second =
-      OpenUnansweredFlow(plane, FakePacketPlane::KeyOfCaller(2));
-  plane.EndHealthCheck(second.backend, HealthCheckResult::kTimedOut);
-  LONGS_EQUAL(0, plane.out.resets.size());
-  plane.RunFor(Milliseconds(1100));
-  plane.EndHealthCheck(second.backend, HealthCheckResult::kTimedOut);
-  LONGS_EQUAL(1, plane.out.resets.size());
-}
-
-/** Many servers that seem lost at once point to this balancer's own link, so
- * each is checked again; those that are lost are found by the second check. */
-TEST(ResetGuard, ManySimultaneousLossesAreConfirmedByASecondCheck) {
-  FakePacketPlane plane;
-  std::vector<VmListEntry> servers;
-  for (uint64_t id = 1; id <= 20; ++id)
-    servers.push_back({id});
-  plane.OfferVmList(servers);
-  plane.RunFor(Milliseconds(5000));
-  std::map<FlowKey, PacketAction> flows;
-  for (uint32_t caller = 0; caller < 20; ++caller) {
-    const FlowKey key = FakePacketPlane::KeyOfCaller(caller);
-    flows[key] = plane.EstablishFlow(key);
-  }
-  const auto send_data = [&](size_t count) {
-    for (auto flow = flows.begin(); count > 0; ++flow, --count)
-      plane.SendData(flow->first, flow->second.tag, 101, 1000, 50);
-  };
-  const auto end_checks = [&] {
-    const std::vector<HealthCheck> checks = std::move(plane.out.checks);
-    plane.out.checks.clear();
-    for (const HealthCheck& check : checks)
-      plane.EndHealthCheck(check.backend, HealthCheckResult::kTimedOut);
-    return checks.size();
-  };
-  send_data(10);
-  plane.RunFor(Milliseconds(220));
-  CHECK(end_checks() >= 10);
-  LONGS_EQUAL(0, plane.out.resets.size());
-  plane.RunFor(Milliseconds(250));
-  CHECK(end_checks() >= 10);
-  CHECK(plane.out.resets.size() >= 10);
-}
-
 /** The list shows that a lost backend server has started again. */
 TEST(ResetGuard, NewInstanceOfALostServerKeepsItsFlows) {
   FakePacketPlane plane;
