Adaptive slow start: capacity weight of a started or recovered server

Cause: a server in its warm-up counts with half of its slots, so while others have an idle slot it gets nothing, and at the end of the warm-up, or of the delay after a recovery, all balancers send it new flows at once.

Change: with the new key flows.adaptive_slow_start (default no) each balancer draws new flows for such a server with a probability from its capacity weight, its slots and the number of live balancers. The weight follows its answers and rises with time without them.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -117,6 +117,7 @@
     this->ReadMembers(*view);
     SelfEvidence evidence = this->token_plane.Control().ReadSelfEvidence(now);
     evidence.controls = this->controls;
+    evidence.live_balancers = this->live_balancers;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
   }
@@ -170,6 +171,7 @@
         local.push_back(member.peer);
     }
     this->local_balancers = 1 + static_cast<int>(local.size());
+    this->live_balancers = 1 + static_cast<int>(all.size());
     // On a congested or cut link all balancers look dead, so a check without a
     // control would be no proof.
     if (all.empty() && this->settings.platform != Endpoint{})
@@ -200,6 +202,8 @@
   std::shared_ptr<const std::vector<Endpoint>> controls;
   /** Live balancers in this data centre, including this one. */
   int local_balancers = 1;
+  /** Live balancers in all data centres, including this one. */
+  int live_balancers = 1;
 };
 
 }  // namespace cuminvane
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -90,6 +90,10 @@
    * lower because callers that retransmit have waited already, and flows whose
    * answer can still be in time have priority. 0 means no limit. */
   int64_t retransmission_depth_limit = 1;
+  /** Whether the answers of a backend server that has started or recovered
+   * decide how many new flows it gets (slow start), instead of a fixed share of
+   * its slots and a fixed delay. */
+  bool adaptive_slow_start = false;
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/member/evidence_type.h
+++ b/src/member/evidence_type.h
@@ -26,6 +26,8 @@
    * balancers, preferably of the own data centre, else the platform's store.
    * Null or empty if there is none. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
+  /** Live balancers in all data centres, including this one. */
+  int live_balancers = 1;
 
   bool operator==(const SelfEvidence&) const = default;
 };
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -191,6 +191,7 @@
   PoolMember* const member = backends.Find(record.backend);
   if (member == nullptr || !record.IsWaiting())
     return;
+  backends.OnPacedLate(*member, record.waiting_since, now);
   backends.OnFailureSignal(*member, failure_signal, record.waiting_since, now,
                            out);
 }
@@ -323,8 +324,11 @@
   if (is_answered) {
     record.acknowledged = packet.acknowledged_or_retransmission;
     context.backends.OnAlive(member, context.now, context.out);
-    if (record.IsWaiting())
-      BackendPool::OnAnswer(member, context.now - record.waiting_since);
+    if (record.IsWaiting()) {
+      const Microseconds time = context.now - record.waiting_since;
+      BackendPool::OnAnswer(member, time);
+      context.backends.OnPacedAnswer(member, time, context.now);
+    }
     ClearAnswerDeadline(record, member);
   }
   if (packet.length == 0)
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -28,6 +28,10 @@
  * average covers about one second. */
 constexpr double kUtilisationWeight = 0.1;
 
+/** Time after the start in which a balancer hears from all live ones; their
+ * heartbeats come every second. */
+constexpr Seconds kSettlingTime{3};
+
 }  // namespace
 
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
@@ -55,6 +59,7 @@
     }
     if (member.incarnation != vm.incarnation) {
       member.warm_up_ends_at = now + vm.warm_up_left;
+      member.pace.warm_up_seen = TimePoint{};
       member.stopping_until = TimePoint{};
     }
     if (vm.leaving)
@@ -124,6 +129,9 @@
                        PacketOutput& out) {
   this->guard.Update(evidence, now);
   this->controls = evidence.controls;
+  this->local_balancers = local_balancers;
+  this->live_balancers = std::max(local_balancers, evidence.live_balancers);
+  this->settled_at = std::min(this->settled_at, now + kSettlingTime);
   if (this->last_tick_at != TimePoint{} &&
       now - this->last_tick_at > kStallThreshold)
     this->last_stall_at = now;
@@ -133,6 +141,7 @@
   this->next_update_at = now + kUpdateInterval;
   this->UpdateLocalUtilisation(now, local_balancers);
   this->UpdateIsolation();
+  this->UpdatePaces(now, out);
   for (auto& [vm, member] : this->members) {
     const bool unproven =
         IsUnavailable(member) ||
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -115,6 +115,12 @@
                    PacketOutput& out);
   /** Updates the average answer time. @param time Time that an answer took. */
   static void OnAnswer(PoolMember& member, Microseconds time);
+  /** Updates the slow start of a backend server that has answered a request.
+   * @param time Time that the answer took. */
+  void OnPacedAnswer(PoolMember& member, Microseconds time, TimePoint now);
+  /** Updates the slow start of a backend server whose answer is overdue.
+   * @param since When the unanswered packet was sent. */
+  void OnPacedLate(PoolMember& member, TimePoint since, TimePoint now);
   /**
    * Handles a failure signal: suspects a reachable backend server and starts a
    * health check. Ignored if the backend server is not reachable, has answered
@@ -180,10 +186,34 @@
    * from a loss, has stayed so until Liveness::trusted_from. */
   bool IsTrusted(const PoolMember& member, TimePoint now) const;
   /** @return The backend servers of the service in the best available state:
-   * trusted ones, else suspected or avoided ones, else unavailable ones. */
+   * trusted ones, else those in slow start, else suspected or avoided ones,
+   * else unavailable ones.
+   * @param paced Receives those in adaptive slow start. */
   std::vector<PoolMember*> Candidates(ServiceId service,
                                       VmId avoided,
-                                      TimePoint now);
+                                      TimePoint now,
+                                      std::vector<PoolMember*>& paced);
+  /** Begins the adaptive slow start of a backend server that has started or
+   * recovered since the last call.
+   * @return Whether it is in adaptive slow start. */
+  bool RefreshPace(PoolMember& member, TimePoint now) const;
+  /** Logs the slow starts that have begun, and ends those that are complete. */
+  void UpdatePaces(TimePoint now, PacketOutput& out);
+  /** Draws whether a new flow goes to a backend server in slow start.
+   * @return That backend server; null if the flow is placed as usual. */
+  PoolMember* DrawPaced(const std::vector<PoolMember*>& paced,
+                        TimePoint now,
+                        RandomEngine& random) const;
+  /** @return Share of the backend server's slots that counts as its capacity.
+   */
+  double CapacityWeight(const PoolMember& member, TimePoint now) const;
+  /** @return Mean answer time in milliseconds of the service's backend servers
+   * that are not in slow start; 0 if none was measured. */
+  double MeanAnswerMs(ServiceId service) const;
+  /** @return What this balancer may take of the capacity of a backend server
+   * in slow start.
+   * @param mean_answer_ms Result of MeanAnswerMs for its service. */
+  PaceShare PaceShareOf(const PoolMember& member, double mean_answer_ms) const;
   /**
    * Leaves out candidates that would queue a new flow while others would not:
    * an open flow without a request costs a backend server little, so a server
@@ -268,6 +298,11 @@
                              ///< if none.
   TimePoint last_tick_at;    ///< Last call of Tick; TimePoint{} if none.
   bool isolated = false;     ///< See IsIsolated.
+  int local_balancers = 1;   ///< See Tick.
+  int live_balancers = 1;    ///< See SelfEvidence::live_balancers.
+  /** Until then the number of balancers is uncertain, and no new flow goes to a
+   * backend server in slow start while others can be chosen. */
+  TimePoint settled_at = kNever;
 };
 
 }  // namespace cuminvane
--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -11,9 +11,6 @@
 /** A backend server whose answers take more than this many times the mean of
  * all candidates gets fewer flows. */
 constexpr double kSlowFactor = 2.0;
-/** Share of its slots that is assumed as the capacity of a backend server in
- * slow start. */
-constexpr double kSlowStartShare = 0.5;
 /** Utilisation of the local slots up to which all new flows stay local. Above
  * it the chance that a flow stays local falls linearly, to zero at
  * kSpreadAllUtilisation. */
@@ -24,16 +21,21 @@
 
 }  // namespace
 
-std::vector<PoolMember*> BackendPool::Candidates(ServiceId service,
-                                                 VmId avoided,
-                                                 TimePoint now) {
+std::vector<PoolMember*> BackendPool::Candidates(
+    ServiceId service,
+    VmId avoided,
+    TimePoint now,
+    std::vector<PoolMember*>& paced) {
   std::vector<PoolMember*> trusted;
   std::vector<PoolMember*> suspects;
   std::vector<PoolMember*> others;
   for (auto& [vm, member] : this->members) {
     if (member.service != service || !this->AcceptsFlows(member, now))
       continue;
-    if (vm != avoided && this->IsTrusted(member, now))
+    if (this->RefreshPace(member, now) && vm != avoided &&
+        member.liveness.reachability == Reachability::kReachable)
+      paced.push_back(&member);
+    else if (vm != avoided && this->IsTrusted(member, now))
       trusted.push_back(&member);
     else if (!IsUnavailable(member))
       suspects.push_back(&member);
@@ -42,15 +44,16 @@
   }
   if (!trusted.empty())
     return trusted;
+  if (!paced.empty())
+    return paced;
   return suspects.empty() ? others : suspects;
 }
 
 double BackendPool::Load(const PoolMember& member,
                          double mean_answer_ms,
                          TimePoint now) const {
-  double capacity = static_cast<double>(member.slots);
-  if (member.warm_up_ends_at > now)
-    capacity *= kSlowStartShare;
+  double capacity =
+      static_cast<double>(member.slots) * this->CapacityWeight(member, now);
   if (mean_answer_ms > 0 && member.answer_ms > kSlowFactor * mean_answer_ms)
     capacity *= mean_answer_ms / member.answer_ms;
   return (member.flows + member.waiting + 1) / capacity;
@@ -109,9 +112,15 @@
                                int64_t depth_limit,
                                TimePoint now,
                                RandomEngine& random) {
-  const std::vector<PoolMember*> all = this->Candidates(service, avoided, now);
+  std::vector<PoolMember*> paced;
+  const std::vector<PoolMember*> all =
+      this->Candidates(service, avoided, now, paced);
   if (all.empty())
     return {};
+  if (!paced.empty() && all != paced) {
+    if (PoolMember* const chosen = this->DrawPaced(paced, now, random))
+      return {chosen, "slow_start"};
+  }
   std::vector<PoolMember*> local;
   std::ranges::copy_if(all, std::back_inserter(local),
                        [](const PoolMember* member) { return member->local; });
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -11,6 +11,7 @@
 #include "base/time_type.h"
 #include "decision/output_type.h"
 #include "message/message_type.h"
+#include "packet/pace_type.h"
 #include "packet/packet_type.h"
 
 namespace cuminvane {
@@ -134,6 +135,7 @@
   double answer_ms = 0;  ///< Moving average of its answer times in
                          ///< milliseconds; 0 means none was measured.
   Liveness liveness;     ///< Its health as this balancer knows it.
+  Pace pace;             ///< Its slow start, if it is adaptive.
 
   bool operator==(const PoolMember&) const = default;
 };
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "decision/decision_func.h"
+#include "packet/pace_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
@@ -62,6 +63,7 @@
     entry["flows"] = member.flows;
     entry["waiting"] = member.waiting;
     entry["answer_ms"] = member.answer_ms;
+    entry["pace"] = WeightAt(member.pace, now);
     list.append(entry);
   }
   return list;
@@ -119,7 +121,8 @@
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics) {
+                          const Metrics& metrics,
+                          TimePoint now) {
   std::ostringstream out;
   out << "cuminvane_config_version "
       << ToString(blackboard.config.value->version)
@@ -135,6 +138,8 @@
         << "cuminvane_backend_reachable" << labels
         << (member.liveness.reachability <= Reachability::kSuspect ? 1 : 0)
         << "\n"
+        << "cuminvane_backend_pace" << labels << WeightAt(member.pace, now)
+        << "\n"
         << "cuminvane_backend_listed" << labels
         << (member.delisted_at == kNever ? 1 : 0) << "\n"
         << "cuminvane_backend_leaving" << labels << (member.leaving ? 1 : 0)
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -41,12 +41,14 @@
  * @param flows Number of opaque flows in the flow table.
  * @param backends Backend servers of opaque flows.
  * @param metrics Counters, merged over all threads.
+ * @param now The current time.
  * @return Counters and histograms in the Prometheus text format.
  */
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics);
+                          const Metrics& metrics,
+                          TimePoint now);
 
 /**
  * @param text Text to parse.
--- a/src/table/flow_limit_table.h
+++ b/src/table/flow_limit_table.h
@@ -46,6 +46,11 @@
              "backend servers are busy, flows whose answer can still be in "
              "time take precedence. The last retransmission is placed in any "
              "case. 0: no limit."},
+      KeyRow{section, "adaptive_slow_start", ValueKind::kBoolean, "no", 0, 0,
+             "",
+             "Whether the answers of a backend server that has started or "
+             "recovered decide how fast it gets new flows. no: half of its "
+             "slots until cold_ms ends, and distrust_ms after a recovery."},
   };
 }
 
