--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "decision/drop_func.h"
+#include "packet/cold_limit_func.h"
 #include "packet/plane_base.h"
 #include "request/token_plane_base.h"
 
@@ -118,6 +119,9 @@
     SelfEvidence evidence = this->token_plane.Control().ReadSelfEvidence(now);
     evidence.controls = this->controls;
     evidence.live_balancers = this->live_balancers;
+    evidence.self = this->settings.id;
+    evidence.known_balancers = this->known_balancers;
+    evidence.hears_all_balancers = this->hears_all_balancers;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
   }
@@ -153,7 +157,8 @@
       this->packet_plane.Sync(*view, now);
   }
 
-  /** Updates `local_balancers` and `controls` if the membership has changed.
+  /** Updates `local_balancers`, `known_balancers` and `controls` if the
+   * membership has changed.
    */
   void ReadMembers(const BlackboardView& view) {
     if (this->known_members == view.members.value)
@@ -163,6 +168,11 @@
         DataCentreIdOf(this->settings.data_centre);
     std::vector<Endpoint> local;
     std::vector<Endpoint> all;
+    const ColdSharers sharers =
+        ColdSharersOf(*view.members.value, this->settings);
+    this->known_balancers =
+        std::make_shared<const std::vector<VmId>>(sharers.balancers);
+    this->hears_all_balancers = sharers.hears_all;
     for (const MemberInfo& member : view.members.value->members) {
       if (member.State() != MemberState::kAlive)
         continue;
@@ -200,6 +210,10 @@
   std::shared_ptr<const MemberView> known_members;
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
+  /** See SelfEvidence::known_balancers. */
+  std::shared_ptr<const std::vector<VmId>> known_balancers;
+  /** See SelfEvidence::hears_all_balancers. */
+  bool hears_all_balancers = false;
   /** Live balancers in this data centre, including this one. */
   int local_balancers = 1;
   /** Live balancers in all data centres, including this one. */
--- a/src/document/config_func.cc
+++ b/src/document/config_func.cc
@@ -105,6 +105,8 @@
     service.id = ServiceIdOf(service.name);
     service.data_centres = section.List("data_centres");
     service.addresses = this->ParseAddresses(raw, section);
+    service.cold_time = section.Millis("cold_ms");
+    service.cold_per_s = section.Decimal("cold_per_s");
     this->data_centres.insert(service.data_centres.begin(),
                               service.data_centres.end());
     this->check.config.services.push_back(std::move(service));
--- a/src/document/config_type.h
+++ b/src/document/config_type.h
@@ -26,6 +26,9 @@
   std::vector<Endpoint> addresses;  ///< Addresses for callers.
   /** Data centres whose backend servers run the service; empty means all. */
   std::vector<std::string> data_centres;
+  Milliseconds cold_time{0};  ///< How long after a start a server is cold.
+  double cold_per_s = 0;  ///< Requests per second that a cold server can take;
+                          ///< 0 means no limit.
 
   bool operator==(const Service&) const = default;
 };
--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -126,6 +126,8 @@
   limits.opening_depth_limit = section.Integer("open_depth");
   limits.retransmission_depth_limit = section.Integer("copy_depth");
   limits.adaptive_slow_start = section.Boolean("adaptive_slow_start");
+  limits.cold_over = section.Decimal("cold_over");
+  limits.cold_slack = section.Decimal("cold_slack");
   return limits;
 }
 
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -94,6 +94,10 @@
    * decide how many new flows it gets (slow start), instead of a fixed share of
    * its slots and a fixed delay. */
   bool adaptive_slow_start = false;
+  /** In any second a cold backend server gets less than Service::cold_per_s
+   * times `cold_over` plus `cold_slack` requests from all balancers. */
+  double cold_over = 1;
+  double cold_slack = 0;
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/member/evidence_type.h
+++ b/src/member/evidence_type.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/endpoint_type.h"
+#include "base/ids_type.h"
 #include "base/time_type.h"
 
 namespace cuminvane {
@@ -28,6 +29,12 @@
   std::shared_ptr<const std::vector<Endpoint>> controls;
   /** Live balancers in all data centres, including this one. */
   int live_balancers = 1;
+  VmId self;  ///< VM of this balancer.
+  /** All other balancers known in the last ten minutes, dead ones included, and
+   * the seed peers. Null if they were not read yet. */
+  std::shared_ptr<const std::vector<VmId>> known_balancers;
+  /** Whether none of `known_balancers` is dead or unheard of. */
+  bool hears_all_balancers = false;
 
   bool operator==(const SelfEvidence&) const = default;
 };
--- /dev/null
+++ b/src/packet/cold_limit_type.h
@@ -0,0 +1,37 @@
+/** @file cold_limit_type.h This balancer's share of the rate limit of one cold
+ * backend server. */
+
+#ifndef CUMINVANE_PACKET_COLD_LIMIT_TYPE_H_
+#define CUMINVANE_PACKET_COLD_LIMIT_TYPE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/ids_type.h"
+#include "base/time_type.h"
+
+namespace cuminvane {
+
+/** A request that occupies one token. */
+struct ColdUse {
+  TimePoint ends_at;        ///< From then on the token is free.
+  bool is_opening = false;  ///< The flow was placed, but its first request has
+                            ///< not come yet.
+
+  bool operator==(const ColdUse&) const = default;
+};
+
+/** Tokens that this balancer holds for one cold backend server, and their uses.
+ */
+struct ColdShare {
+  uint64_t dealt_round = 0;   ///< ColdLimit::round of `tokens`; 0 means none.
+  Incarnation incarnation;    ///< Instance that `tokens` were dealt for.
+  int64_t tokens = 0;         ///< New flows that may be placed per second.
+  std::vector<ColdUse> uses;  ///< May contain uses that have ended.
+
+  bool operator==(const ColdShare&) const = default;
+};
+
+}  // namespace cuminvane
+
+#endif  // CUMINVANE_PACKET_COLD_LIMIT_TYPE_H_
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -266,7 +266,7 @@
       context.backends.Choose(route.ServiceOf(FlowIdOf(packet.key)), avoided,
                               depth_limit, context.now, context.random);
   if (choice.member == nullptr)
-    return ResetFlow("no_backend", packet, VmId{}, context);
+    return ResetFlow(choice.reason, packet, VmId{}, context);
   if (retransmission < kLastRetransmission &&
       BackendPool::IsFull(*choice.member, depth_limit)) {
     UncountFlow(record, context.backends);
@@ -278,6 +278,8 @@
   if (record.backend != choice.member->vm)
     UncountFlow(record, context.backends);
   CountFlow(record, *choice.member);
+  context.backends.GetColdLimit().OnPlaced(*choice.member, avoided,
+                                           context.now);
   this->StartAnswerDeadline(record, *choice.member, context.now,
                             kOpeningAnswerTimeout);
   LogFlowDecision("flow_placed", avoided == VmId{} ? choice.reason : "copy",
@@ -335,6 +337,12 @@
     return is_answered;
   const uint32_t end = packet.sequence + packet.length;
   if (IsAfter(end, record.next_sequence)) {
+    // Data that follows while an answer is awaited is more of one request.
+    if (!record.IsWaiting()) {
+      const bool is_first = record.opening_sequence != 0 &&
+                            record.next_sequence == record.opening_sequence;
+      context.backends.GetColdLimit().OnRequest(member, is_first, context.now);
+    }
     record.next_sequence = end;
     const OpaqueRoute* const route = context.routes.Find(packet.key.service);
     this->StartAnswerDeadline(record, member, context.now,
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -35,12 +35,15 @@
 }  // namespace
 
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
-    : data_centre(DataCentreIdOf(data_centre)), limits(limits) {}
+    : data_centre(DataCentreIdOf(data_centre)),
+      limits(limits),
+      cold_limit(limits) {}
 
 std::vector<VmId> BackendPool::Sync(const VmList& list,
                                     const Config& config,
                                     TimePoint now) {
   std::vector<VmId> restarted;
+  this->cold_limit.SetServices(config.services);
   const uint64_t list_era = list.version.value / kVersionsPerEra;
   if (std::exchange(this->era, list_era) != list_era)
     this->guard.OnHistoryLost(now);
@@ -128,6 +131,7 @@
                        const SelfEvidence& evidence,
                        PacketOutput& out) {
   this->guard.Update(evidence, now);
+  this->cold_limit.Update(evidence, now);
   this->controls = evidence.controls;
   this->local_balancers = local_balancers;
   this->live_balancers = std::max(local_balancers, evidence.live_balancers);
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -15,6 +15,7 @@
 #include "document/config_type.h"
 #include "document/settings_type.h"
 #include "document/vmlist_type.h"
+#include "packet/cold_limit_base.h"
 #include "packet/pool_type.h"
 #include "packet/reset_guard_base.h"
 
@@ -23,7 +24,7 @@
 /** A backend server chosen for a new flow. */
 struct PoolChoice {
   PoolMember* member = nullptr;  ///< Null if no backend server accepts flows.
-  const char* reason = "";       ///< Why it was chosen, as logged.
+  const char* reason = "";       ///< Why it, or none, was chosen, as logged.
 
   bool operator==(const PoolChoice&) const = default;
 };
@@ -115,6 +116,8 @@
                    PacketOutput& out);
   /** Updates the average answer time. @param time Time that an answer took. */
   static void OnAnswer(PoolMember& member, Microseconds time);
+  /** @return The rate limit of cold backend servers. */
+  ColdLimit& GetColdLimit() { return this->cold_limit; }
   /** Updates the slow start of a backend server that has answered a request.
    * @param time Time that the answer took. */
   void OnPacedAnswer(PoolMember& member, Microseconds time, TimePoint now);
@@ -188,11 +191,14 @@
   /** @return The backend servers of the service in the best available state:
    * trusted ones, else those in slow start, else suspected or avoided ones,
    * else unavailable ones.
-   * @param paced Receives those in adaptive slow start. */
+   * @param paced Receives those in adaptive slow start.
+   * @param cold_limited Set if the rate limit of a cold backend server left it
+   * out. */
   std::vector<PoolMember*> Candidates(ServiceId service,
                                       VmId avoided,
                                       TimePoint now,
-                                      std::vector<PoolMember*>& paced);
+                                      std::vector<PoolMember*>& paced,
+                                      bool& cold_limited);
   /** Begins the adaptive slow start of a backend server that has started or
    * recovered since the last call.
    * @return Whether it is in adaptive slow start. */
@@ -287,8 +293,9 @@
   /** Moving average, by service, of waiting flows per slot of the backend
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
-  ResetGuard guard;  ///< See Guard.
-  uint64_t era = 0;  ///< Era of the list of VMs; see kVersionsPerEra.
+  ResetGuard guard;      ///< See Guard.
+  ColdLimit cold_limit;  ///< See GetColdLimit.
+  uint64_t era = 0;      ///< Era of the list of VMs; see kVersionsPerEra.
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
   size_t control_index =
--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -25,13 +25,18 @@
     ServiceId service,
     VmId avoided,
     TimePoint now,
-    std::vector<PoolMember*>& paced) {
+    std::vector<PoolMember*>& paced,
+    bool& cold_limited) {
   std::vector<PoolMember*> trusted;
   std::vector<PoolMember*> suspects;
   std::vector<PoolMember*> others;
   for (auto& [vm, member] : this->members) {
     if (member.service != service || !this->AcceptsFlows(member, now))
       continue;
+    if (!this->cold_limit.Allows(member, avoided, now)) {
+      cold_limited = true;
+      continue;
+    }
     if (this->RefreshPace(member, now) && vm != avoided &&
         member.liveness.reachability == Reachability::kReachable)
       paced.push_back(&member);
@@ -46,7 +51,10 @@
     return trusted;
   if (!paced.empty())
     return paced;
-  return suspects.empty() ? others : suspects;
+  if (!suspects.empty())
+    return suspects;
+  // A reset now serves the caller better than an unavailable backend server.
+  return cold_limited ? std::vector<PoolMember*>{} : others;
 }
 
 double BackendPool::Load(const PoolMember& member,
@@ -113,10 +121,11 @@
                                TimePoint now,
                                RandomEngine& random) {
   std::vector<PoolMember*> paced;
+  bool cold_limited = false;
   const std::vector<PoolMember*> all =
-      this->Candidates(service, avoided, now, paced);
+      this->Candidates(service, avoided, now, paced, cold_limited);
   if (all.empty())
-    return {};
+    return {nullptr, cold_limited ? "cold_limit" : "no_backend"};
   if (!paced.empty() && all != paced) {
     if (PoolMember* const chosen = this->DrawPaced(paced, now, random))
       return {chosen, "slow_start"};
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -11,6 +11,7 @@
 #include "base/time_type.h"
 #include "decision/output_type.h"
 #include "message/message_type.h"
+#include "packet/cold_limit_type.h"
 #include "packet/pace_type.h"
 #include "packet/packet_type.h"
 
@@ -136,6 +137,7 @@
                          ///< milliseconds; 0 means none was measured.
   Liveness liveness;     ///< Its health as this balancer knows it.
   Pace pace;             ///< Its slow start, if it is adaptive.
+  ColdShare cold_share;  ///< This balancer's share of its rate limit.
 
   bool operator==(const PoolMember&) const = default;
 };
--- a/src/shell/explain_func.cc
+++ b/src/shell/explain_func.cc
@@ -44,6 +44,10 @@
         "no class of the configuration uses the flow's service address"},
     ReasonMeaning{"no_backend",
                   "no backend server of its service took new flows"},
+    ReasonMeaning{"cold_limit",
+                  "the backend servers of its service were cold and their rate "
+                  "limit left "
+                  "this balancer nothing; the flow was reset at once"},
     ReasonMeaning{
         "backend_full",
         "its backend server was full; the retransmission of the opening "
--- a/src/shell/metrics_base.cc
+++ b/src/shell/metrics_base.cc
@@ -92,6 +92,9 @@
   const std::lock_guard lock(this->mutex);
   for (const Decision& decision : out.decisions) {
     ++this->events[{decision.topic, decision.event, decision.code}];
+    if (decision.topic == Topic::kFlow &&
+        std::string_view(decision.reason) == "cold_limit")
+      ++this->cold_limited_flows;
   }
   for (const Datagram& datagram : out.datagrams) {
     AddTraffic(this->TrafficOf(datagram.channel).sent,
@@ -130,6 +133,7 @@
 void Metrics::Merge(const Metrics& other) {
   const std::scoped_lock lock(this->mutex, other.mutex);
   this->unsent_packets += other.unsent_packets;
+  this->cold_limited_flows += other.cold_limited_flows;
   for (const auto& [key, count] : other.events)
     this->events[key] += count;
   for (size_t channel = 0; channel < kChannelCount; ++channel) {
@@ -196,7 +200,7 @@
         << "cuminvane_unsent_total" << labels << traffic.unsent << "\n";
   }
   out << "cuminvane_unsent_total{lane=\"packets\"} " << this->unsent_packets
-      << "\n";
+      << "\ncuminvane_cold_limited_flows " << this->cold_limited_flows << "\n";
   for (const auto& entry : this->classes) {
     const WorkClass* const work = FindClass(config, entry.first);
     const std::string name =
--- a/src/shell/metrics_base.h
+++ b/src/shell/metrics_base.h
@@ -95,6 +95,8 @@
   mutable std::mutex mutex;             ///< Guards all other members.
   std::array<LaneTraffic, kChannelCount> traffic;  ///< Indexed by lane.
   std::map<ClassId, ClassMetrics> classes;
+  /** Flows that the rate limit of cold backend servers reset. */
+  uint64_t cold_limited_flows = 0;
   uint64_t unsent_packets =
       0;  ///< Packets of opaque flows that the socket did not accept.
 };
--- a/src/table/config_table.h
+++ b/src/table/config_table.h
@@ -44,6 +44,14 @@
            "most one service."},
     KeyRow{"service", "data_centres", ValueKind::kWordList, "", 0, 0, "",
            "Data centres whose backend servers serve the service. Empty: all."},
+    KeyRow{"service", "cold_ms", ValueKind::kInteger, "0", 0, 86400000, "",
+           "How long a backend server is cold after its start, in "
+           "milliseconds. For the record: its entry in the list of VMs decides "
+           "when that time ends."},
+    KeyRow{"service", "cold_per_s", ValueKind::kDecimal, "0", 0, 1000000, "",
+           "Requests per second that a cold backend server can take from all "
+           "balancers together; see flows.cold_over and flows.cold_slack of "
+           "the settings. 0: no limit."},
     KeyRow{"class", "service", ValueKind::kWord, nullptr, 0, 0, "",
            "Service that the class belongs to."},
     KeyRow{"class", "addresses", ValueKind::kEndpointList, "", 0, 0, "",
--- a/src/table/flow_limit_table.h
+++ b/src/table/flow_limit_table.h
@@ -51,6 +51,13 @@
              "Whether the answers of a backend server that has started or "
              "recovered decide how fast it gets new flows. no: half of its "
              "slots until cold_ms ends, and distrust_ms after a recovery."},
+      KeyRow{section, "cold_over", ValueKind::kDecimal, "1", 0, 1000, "",
+             "Factor of a service's cold_per_s: in any second the requests of "
+             "all balancers to one cold backend server stay under cold_per_s x "
+             "cold_over + cold_slack."},
+      KeyRow{section, "cold_slack", ValueKind::kDecimal, "0", 0, 1000000, "",
+             "Requests per second that a cold backend server gets in addition "
+             "to cold_per_s x cold_over."},
   };
 }
 
--- a/tests/translation_test.cc
+++ b/tests/translation_test.cc
@@ -398,3 +398,42 @@
   CHECK(slow != nullptr);
   LONGS_EQUAL(3'600'000, slow->target.answered_within_ms);
 }
+
+/** Guards against a limit that is lost or made up in the translation, and
+ * against keys that earlier versions of the balancer refuse where no limit is
+ * stated. */
+TEST(Translation, RateLimitOfAColdServer) {
+  struct Case {
+    const char* fields;
+    int64_t cold_ms;
+    double per_s;
+    size_t problems;
+  };
+  const std::vector<Case> cases = {
+      {R"("cold_start_s":2.5,"cold_per_s":7.5)", 2500, 7.5, 0},
+      {R"("cold_per_s":3)", 0, 3, 0},
+      {R"("cold_start_s":10)", 0, 0, 0},
+      {R"("cold_start_s":10,"cold_per_s":0)", 0, 0, 0},
+      {R"("cold_start_s":10,"cold_per_s":-1)", 0, 0, 1},
+      {R"("cold_start_s":10,"cold_per_s":"4")", 0, 0, 1},
+      {R"("cold_start_s":[],"cold_per_s":{})", 0, 0, 2},
+      {R"("cold_start_s":-1,"cold_per_s":4)", 0, 4, 1},
+      {R"("cold_start_s":null,"cold_per_s":1e-9)", 0, 1e-6, 0},
+      {R"("cold_start_s":1e308,"cold_per_s":1e308)", 86'400'000, 1e6, 0},
+  };
+  for (const Case& one : cases) {
+    const platform::Translation translation = platform::TranslateConfig(
+        {{"op/config",
+          R"({"version":7,"routes":[)" + Route("r-1", "198.18.0.1") +
+              R"(],"services":[{"name":"desk",)" + one.fields + "}]}"}},
+        [] { return SectionTexts{}; });
+    const ConfigCheck check = CheckConfig("c", translation.text);
+    STRCMP_EQUAL("", FormatProblems(check.problems).c_str());
+    LONGS_EQUAL(1, check.config.services.size());
+    LONGS_EQUAL(one.cold_ms, check.config.services[0].cold_time.count());
+    DOUBLES_EQUAL(one.per_s, check.config.services[0].cold_per_s, 1e-9);
+    LONGS_EQUAL(one.problems, translation.problems.size());
+    CHECK_EQUAL(one.per_s > 0,
+                translation.text.find("cold_") != std::string::npos);
+  }
+}
