--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -80,8 +80,10 @@
   PoolMember* const member = backends.Find(record.backend);
   if (member != nullptr) {
     ClearAnswerDeadline(record, *member);
-    if (record.counted)
+    if (record.counted) {
       member->flows = std::max(0, member->flows - 1);
+      backends.GetColdLimit().OnFlowEnded(*member, record.last_packet_at);
+    }
   }
   record.counted = false;
   record.waiting_since = kNever;
@@ -210,6 +212,7 @@
   PoolMember* const member = backends.Find(record.backend);
   if (member == nullptr || !record.IsWaiting())
     return;
+  backends.OnPacedLate(*member, record.waiting_since, now);
   backends.OnFailureSignal(*member, failure_signal, record.waiting_since, now,
                            out);
 }
@@ -345,14 +348,23 @@
   if (is_answered) {
     record.acknowledged = packet.acknowledged_or_retransmission;
     context.backends.OnAlive(member, context.now, context.out);
-    if (record.IsWaiting())
-      BackendPool::OnAnswer(member, context.now - record.waiting_since);
+    if (record.IsWaiting()) {
+      const Microseconds time = context.now - record.waiting_since;
+      BackendPool::OnAnswer(member, time);
+      context.backends.OnPacedAnswer(member, time, context.now);
+    }
     ClearAnswerDeadline(record, member);
   }
   if (packet.length == 0)
     return is_answered;
   const uint32_t end = packet.sequence + packet.length;
   if (IsAfter(end, record.next_sequence)) {
+    // Data that follows while an answer is awaited is more of one request. The
+    // token of the flow covers its first request.
+    const bool is_first = record.opening_sequence != 0 &&
+                          record.next_sequence == record.opening_sequence;
+    if (!record.IsWaiting() && !is_first)
+      context.backends.GetColdLimit().OnFurtherRequest(member, context.now);
     record.next_sequence = end;
     const OpaqueRoute* const route = context.routes.Find(packet.key.service);
     this->StartAnswerDeadline(record, member, context.now,
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -28,17 +28,23 @@
  * average covers about one second. */
 constexpr double kUtilisationWeight = 0.1;
 
+/** Time after the start in which a balancer hears from all live ones; their
+ * heartbeats come every second. */
+constexpr Seconds kSettlingTime{3};
+
 }  // namespace
 
 BackendPool::BackendPool(std::string_view data_centre, const FlowLimits& limits)
     : data_centre(DataCentreIdOf(data_centre)),
       limits(limits),
-      evacuations(data_centre) {}
+      evacuations(data_centre),
+      cold_limit(limits) {}
 
 std::vector<VmId> BackendPool::Sync(const VmList& list,
                                     const Config& config,
                                     TimePoint now) {
   std::vector<VmId> restarted;
+  this->cold_limit.SetServices(config.services);
   const uint64_t list_era = list.version.value / kVersionsPerEra;
   if (std::exchange(this->era, list_era) != list_era)
     this->guard.OnHistoryLost(now);
@@ -56,8 +62,10 @@
       this->ForgetInstance(member, now);
     }
     const bool is_new_instance = member.incarnation != vm.incarnation;
-    if (is_new_instance)
+    if (is_new_instance) {
+      member.pace.warm_up_seen = TimePoint{};
       member.stopping_until = TimePoint{};
+    }
     // A server can be cold again without a restart, for example when its data
     // centre returns to service.
     if (is_new_instance || member.listed_warm_up != vm.warm_up_left)
@@ -131,7 +139,11 @@
                        const SelfEvidence& evidence,
                        PacketOutput& out) {
   this->guard.Update(evidence, now);
+  this->cold_limit.Update(evidence, now);
   this->controls = evidence.controls;
+  this->local_balancers = local_balancers;
+  this->live_balancers = std::max(local_balancers, evidence.live_balancers);
+  this->settled_at = std::min(this->settled_at, now + kSettlingTime);
   if (this->last_tick_at != TimePoint{} &&
       now - this->last_tick_at > kStallThreshold)
     this->last_stall_at = now;
@@ -142,6 +154,7 @@
   this->UpdateLocalUtilisation(now, local_balancers);
   this->UpdateIsolation(now);
   this->evacuations.Tick(now, this->members, out.common);
+  this->UpdatePaces(now, out);
   for (auto& [vm, member] : this->members) {
     const bool unproven =
         IsUnavailable(member) ||
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "decision/decision_func.h"
+#include "packet/pace_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
@@ -66,6 +67,7 @@
     entry["flows"] = member.flows;
     entry["waiting"] = member.waiting;
     entry["answer_ms"] = member.answer_ms;
+    entry["pace"] = WeightAt(member.pace, now);
     list.append(entry);
   }
   return list;
@@ -158,6 +160,8 @@
         << "cuminvane_backend_reachable" << labels
         << (member.liveness.reachability <= Reachability::kSuspect ? 1 : 0)
         << "\n"
+        << "cuminvane_backend_pace" << labels << WeightAt(member.pace, now)
+        << "\n"
         << "cuminvane_backend_listed" << labels
         << (member.delisted_at == kNever ? 1 : 0) << "\n"
         << "cuminvane_backend_leaving" << labels << (member.leaving ? 1 : 0)
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -46,7 +46,7 @@
  * @param backends Backend servers of opaque flows.
  * @param evacuations Evacuated data centres.
  * @param metrics Counters, merged over all threads.
- * @param now Current time.
+ * @param now The current time.
  * @return Counters and histograms in the Prometheus text format.
  */
 std::string FormatMetrics(const BlackboardView& blackboard,
