Share the load of backend servers between balancers

Cause: one of 81 balancers sees 0.15 answers a second of a server and can't tell a slow one from a fast one, so flows are spread evenly by number and slow servers shed while fast ones have room.

Change: with flows.share_load (default no) each balancer keeps a decaying slowness and delay per server, gossips them in ServerLoadReport (type 77, one byte per server), and weights new flows by them outside a dead band. The emulator gets speeds, lives of flows, a start of the measured time, and the tries shed by full servers.

The cost of a packet was not measured.

--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -45,6 +45,16 @@
               RandomEngine& random,
               PacketOutput& out) {
     const Result<DatagramHeader> header = DecodeHeader(bytes);
+    if (header && header.value().type == MessageType::kServerLoadReport &&
+        this->settings.flows.share_load) {
+      const Result<ServerLoadReport> report =
+          Decode<ServerLoadReport>(bytes, header.value());
+      if (report)
+        this->packet_plane.OnServerLoadReport(now, report.value(), out);
+      else
+        ReportDrop(report.error().code, "peer", out.common);
+      return;
+    }
     if (!header || header.value().type != MessageType::kReachabilityUpdate) {
       this->token_plane.OnPeer(now, from, bytes, random, out.common);
       this->SyncPacketPlane(now);
@@ -119,6 +129,8 @@
     evidence.controls = this->controls;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
+    if (this->settings.flows.share_load)
+      this->packet_plane.SendServerLoad(now, *view->members.value, random, out);
   }
 
   /** @return Whether this balancer is ready to receive callers' packets. */
--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -125,6 +125,7 @@
   limits.removal_grace_period = section.Millis("vanish_grace_ms");
   limits.opening_depth_limit = section.Integer("open_depth");
   limits.retransmission_depth_limit = section.Integer("copy_depth");
+  limits.share_load = section.Boolean("share_load");
   return limits;
 }
 
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -90,6 +90,9 @@
    * lower because callers that retransmit have waited already, and flows whose
    * answer can still be in time have priority. 0 means no limit. */
   int64_t retransmission_depth_limit = 1;
+  /** Whether balancers report the load of backend servers to each other and
+   * place new flows by it. */
+  bool share_load = false;
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/emulate/backend_model.cc
+++ b/src/emulate/backend_model.cc
@@ -119,6 +119,7 @@
     this->QueueAnswer(now, key, FormatAnswer(request, AnswerKind::kFailed));
   } else if (static_cast<int>(this->waiting.size()) >=
              this->options.queue_limit) {
+    ++this->sheds;
     this->QueueAnswer(now, key, FormatAnswer(request, AnswerKind::kShed));
   } else {
     this->waiting.push_back({key, request, kNever});
@@ -131,7 +132,7 @@
          static_cast<int>(this->running.size()) < this->options.slots) {
     AcceptedRequest accepted = this->waiting.front();
     this->waiting.pop_front();
-    double factor = this->slowdown;
+    double factor = this->slowdown / this->options.speed;
     if (this->warm_up_until > now)
       factor *= this->options.warm_up_factor;
     const auto time = std::chrono::duration_cast<Microseconds>(
--- a/src/emulate/backend_model.h
+++ b/src/emulate/backend_model.h
@@ -26,6 +26,7 @@
                             ///< process starts; 0 means no warm-up.
   double warm_up_factor = 1.6;  ///< Multiple of the running time of requests
                                 ///< that start during the warm-up.
+  double speed = 1;             ///< Requests run this many times as fast.
 
   bool operator==(const BackendOptions&) const = default;
 };
@@ -78,6 +79,8 @@
   bool HasOpenFlow(const FlowKey& key) const;
   /** @return Time in which slots were busy, summed over the slots. */
   Microseconds BusyTime() const { return this->busy_time; }
+  /** @return Requests that were refused because the queue was full. */
+  uint64_t Sheds() const { return this->sheds; }
   const std::vector<RunRecord>& Runs() const { return this->runs; }
   const std::vector<AcceptedFlow>& AcceptedFlows() const {
     return this->accepted_flows;
@@ -136,6 +139,7 @@
   std::vector<AcceptedFlow> accepted_flows;
   /** Time in which slots were busy, summed over the slots. */
   Microseconds busy_time{0};
+  uint64_t sheds = 0;  ///< See Sheds.
 };
 
 }  // namespace cuminvane::emulate
--- a/src/emulate/caller_model.cc
+++ b/src/emulate/caller_model.cc
@@ -73,6 +73,9 @@
       else
         this->SendOpening(now, *user.flow, out);
     }
+    if (user.flow && user.flow->open && !user.flow->has_request &&
+        user.flow->closes_at <= now)
+      this->CloseFlow(user, out);
     this->StartNextRequest(now, user, random, out);
     if (user.flow && user.flow->open && user.flow->has_request &&
         !user.flow->request_written)
@@ -144,6 +147,11 @@
   flow.initial_sequence = static_cast<uint32_t>(random());
   flow.sender = Sender(flow.initial_sequence + 1);
   flow.next_opening_at = now;
+  const Milliseconds life = this->kinds[user.kind].flow_life;
+  if (life > Milliseconds(0))
+    flow.closes_at =
+        now + Microseconds(static_cast<int64_t>(DrawIndex(
+                  random, static_cast<size_t>(Microseconds(life).count()))));
   this->user_by_port[flow.key.caller.port] =
       static_cast<size_t>(&user - this->users.data());
   user.flow = std::move(flow);
--- a/src/emulate/caller_model.h
+++ b/src/emulate/caller_model.h
@@ -21,6 +21,8 @@
   Endpoint address;  ///< Service address to which the flows are opened.
   bool idempotent = true;
   bool flow_per_request = false;  ///< Each request opens a flow of its own.
+  Milliseconds flow_life{0};      ///< Longest life of a kept flow; lives are
+                                  ///< uniformly distributed. 0: no limit.
   double requests_per_s = 1;     ///< Mean rate of all users of one CallerModel.
   int users = 1;                 ///< Users of one CallerModel.
   Microseconds mean_work{0};     ///< Mean time for which a request occupies a
@@ -100,6 +102,8 @@
     TimePoint next_opening_at;      ///< When the next opening packet is due, or
                                     ///< the attempt ends.
     bool open = false;              ///< The opening packet has been answered.
+    /** When the flow is closed as soon as no request is in progress. */
+    TimePoint closes_at = kNever;
     FlowTag tag;  ///< Tag of the last packet from the service; sent back in the
                   ///< caller's packets.
     Receiver receiver{0};
--- a/src/emulate/experiment_func.cc
+++ b/src/emulate/experiment_func.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 
 #include "base/ini_func.h"
 #include "base/schema_func.h"
@@ -24,10 +25,14 @@
 constexpr uint32_t kServiceNet = 0xc6120000;
 constexpr uint16_t kServicePort = 443;
 constexpr double kPercent = 100;
+/** Range of the speeds of backend servers. */
+constexpr double kMinSpeed = 0.01;
+constexpr double kMaxSpeed = 100;
 
 void ReadFleet(const SectionReader& section, Experiment& experiment) {
   experiment.seed = static_cast<uint64_t>(section.Integer("seed"));
   experiment.load_duration = section.Millis("length_ms");
+  experiment.measured_from = section.Millis("measured_from_ms");
   experiment.data_centres = section.List("data_centres");
   experiment.balancers = static_cast<int>(section.Integer("balancers"));
   experiment.local_delay = Microseconds(section.Integer("near_us"));
@@ -38,10 +43,15 @@
 }
 
 ServicePlan ReadService(const SectionReader& section) {
-  return {section.Name(), static_cast<int>(section.Integer("backends")),
-          static_cast<int>(section.Integer("slots")),
-          static_cast<int>(section.Integer("queue")),
-          section.Millis("cold_ms")};
+  ServicePlan plan{section.Name(),
+                   static_cast<int>(section.Integer("backends")),
+                   static_cast<int>(section.Integer("slots")),
+                   static_cast<int>(section.Integer("queue")),
+                   section.Millis("cold_ms"),
+                   {}};
+  for (const std::string& text : section.List("speeds"))
+    plan.speeds.push_back(std::strtod(text.c_str(), nullptr));
+  return plan;
 }
 
 RequestPlan ReadRequestKind(const SectionReader& section, size_t index) {
@@ -52,6 +62,7 @@
                        kServicePort};
   plan.kind.idempotent = section.Boolean("idempotent");
   plan.kind.flow_per_request = section.Boolean("fresh");
+  plan.kind.flow_life = section.Millis("flow_life_ms");
   plan.kind.requests_per_s = section.Decimal("per_s");
   plan.kind.users = static_cast<int>(section.Integer("users"));
   plan.kind.mean_work = std::chrono::duration_cast<Microseconds>(
@@ -100,6 +111,14 @@
         experiment.request_plans,
         [&](const RequestPlan& plan) { return plan.kind.name == name; });
   };
+  for (const ServicePlan& plan : experiment.services) {
+    if (plan.speeds.empty() ||
+        std::ranges::any_of(plan.speeds, [](double speed) {
+          return speed < kMinSpeed || speed > kMaxSpeed;
+        }))
+      parsed.problems.push_back({document.file, 0, "service " + plan.name,
+                                 "speeds", "a speed", "numbers 0.01 to 100"});
+  }
   for (const RequestPlan& plan : experiment.request_plans) {
     if (!has_service(plan.service))
       parsed.problems.push_back({document.file, 0, "work " + plan.kind.name,
--- a/src/emulate/experiment_type.h
+++ b/src/emulate/experiment_type.h
@@ -22,6 +22,7 @@
                         ///< server; further requests are shed.
   Milliseconds warm_up{2000};  ///< Length of the warm-up (slow start) after a
                                ///< restart or replacement.
+  std::vector<double> speeds{1};  ///< Given to the backend servers in turn.
 
   bool operator==(const ServicePlan&) const = default;
 };
@@ -95,6 +96,9 @@
 struct Experiment {
   uint64_t seed = 1;                  ///< Seed of all random choices.
   Milliseconds load_duration{30000};  ///< Time for which users issue requests.
+  /** Start of the time for which the slots' busy time and the refusals of full
+   * servers are reported, from the start of the load. */
+  Milliseconds measured_from{0};
   std::vector<std::string> data_centres{"a", "b", "c"};
   int balancers = 1;                ///< Balancers in each data centre.
   Microseconds local_delay{100};    ///< One-way delay within a data centre.
--- a/src/emulate/report_func.cc
+++ b/src/emulate/report_func.cc
@@ -187,6 +187,7 @@
   report.seed = experiment.seed;
   report.violations = result.violations;
   report.resets = result.resets;
+  report.sheds = result.sheds;
   report.checks = result.checks;
   Tally all;
   std::map<std::string, Tally> kinds;
@@ -252,6 +253,7 @@
     }
     for (const auto& [service, ratio] : run.imbalance)
       text += FormatFigure(run, service + ".busiest_to_mean", ratio, "ratio");
+    text += FormatFigure(run, "sheds", static_cast<double>(run.sheds), "tries");
     text +=
         FormatFigure(run, "resets", static_cast<double>(run.resets), "resets");
     text +=
@@ -276,6 +278,7 @@
     json["worst_window"] = run.worst_window_earned_share;
     json["one_queue"]["worth"] = run.single_queue_earned_share;
     json["one_queue"]["p99_ms"] = run.single_queue_p99_ms;
+    json["sheds"] = static_cast<Json::UInt64>(run.sheds);
     json["resets"] = static_cast<Json::UInt64>(run.resets);
     json["checks"] = static_cast<Json::UInt64>(run.checks);
     json["peer_bytes_per_s"] = run.peer_bytes_per_s;
--- a/src/emulate/report_func.h
+++ b/src/emulate/report_func.h
@@ -53,6 +53,7 @@
   std::map<std::string, KindReport> kinds;
   std::vector<WindowReport> windows;  ///< In order of time; windows without
                                       ///< requests are left out.
+  uint64_t sheds = 0;  ///< Attempts that full backend servers refused.
   std::map<std::string, double> imbalance;  ///< By service: slot time of the
                                             ///< busiest backend server / mean.
   std::vector<InvariantViolation> violations;
--- a/src/emulate/world_base.cc
+++ b/src/emulate/world_base.cc
@@ -68,7 +68,8 @@
             service.slots,
             service.queue_limit,
             Milliseconds(0),
-            BackendOptions{}.warm_up_factor};
+            BackendOptions{}.warm_up_factor,
+            service.speeds[static_cast<size_t>(index) % service.speeds.size()]};
         server.model =
             std::make_unique<BackendModel>(server.options, this->now);
         const VmId vm = server.options.vm;
@@ -90,6 +91,9 @@
   this->faults_end_at = this->load_started_at;
   for (const FaultPlan& fault : this->experiment.faults)
     this->ScheduleFault(fault);
+  if (this->experiment.measured_from > Milliseconds(0))
+    this->ScheduleAt(this->load_started_at + this->experiment.measured_from,
+                     [this] { this->BeginMeasurement(); });
   const TimePoint ends_at =
       this->load_started_at + this->experiment.load_duration;
   while (this->now < ends_at)
@@ -106,15 +110,27 @@
                                  caller.Records().end());
   for (auto& [vm, server] : this->servers) {
     this->CollectRecords(server);
-    this->result.busy_time[vm] = server.busy_time;
+    this->result.busy_time[vm] = server.busy_time - this->earlier_busy_time[vm];
     this->result.service_by_backend[vm] = server.options.service;
   }
+  this->result.sheds -= this->earlier_sheds;
   this->CheckRequests(this->result);
   this->CheckDrains(this->result);
   this->CheckRecovery(this->result);
   return std::move(this->result);
 }
 
+void World::BeginMeasurement() {
+  this->earlier_sheds = this->result.sheds;
+  for (const auto& [vm, server] : this->servers) {
+    this->earlier_busy_time[vm] = server.busy_time;
+    if (server.model == nullptr)
+      continue;
+    this->earlier_busy_time[vm] += server.model->BusyTime();
+    this->earlier_sheds += server.model->Sheds();
+  }
+}
+
 void World::StartBalancer(BalancerNode& node) {
   node.settings = std::make_unique<Settings>();
   Settings& settings = *node.settings;
--- a/src/emulate/world_base.h
+++ b/src/emulate/world_base.h
@@ -51,6 +51,8 @@
                                            ///< summed over the slots of each
                                            ///< backend server.
   std::map<VmId, std::string> service_by_backend;
+  uint64_t sheds = 0;        ///< Requests that full backend servers refused,
+                             ///< each attempt counted.
   uint64_t resets = 0;       ///< Resets that balancers sent to callers.
   uint64_t checks = 0;       ///< Health checks that balancers started.
   uint64_t start_bytes = 0;  ///< Bytes that balancers sent to each other before
@@ -235,6 +237,8 @@
   void Send(Microseconds delay, Delivery delivery);
   /** Schedules an event. */
   void ScheduleAt(TimePoint when, Event event);
+  /** Begins the time for which busy time and refusals are reported. */
+  void BeginMeasurement();
   /** Records a violation at the current time. */
   void RecordViolation(const char* rule, const std::string& what);
 
@@ -339,7 +343,10 @@
   std::vector<std::vector<RouteChange>> routes;  ///< Route history of each kind
                                                  ///< of request, oldest first.
   uint64_t next_backend_number = 1;
-  double load_factor = 1;            ///< Multiple of the planned request rate.
+  double load_factor = 1;  ///< Multiple of the planned request rate.
+  std::map<VmId, Microseconds> earlier_busy_time;  ///< Before the time that
+                                                   ///< is reported.
+  uint64_t earlier_sheds = 0;                      ///< As `earlier_busy_time`.
   DecisionMutator decision_mutator;  ///< Empty if decisions aren't altered.
   WorldResult result;
 };
--- a/src/emulate/world_fault.cc
+++ b/src/emulate/world_fault.cc
@@ -205,6 +205,7 @@
   if (server.model == nullptr)
     return;
   server.busy_time += server.model->BusyTime();
+  this->result.sheds += server.model->Sheds();
   server.runs.insert(server.runs.end(), server.model->Runs().begin(),
                      server.model->Runs().end());
   server.accepted_flows.insert(server.accepted_flows.end(),
--- a/src/message/message_type.h
+++ b/src/message/message_type.h
@@ -87,6 +87,7 @@
   kDocumentPush = 74,
   kDocumentFetch = 75,
   kDocumentAnswer = 76,
+  kServerLoadReport = 77,
   // Between the fabric and a balancer.
   kFabricPacket = 80,
 };
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -323,8 +323,12 @@
   if (is_answered) {
     record.acknowledged = packet.acknowledged_or_retransmission;
     context.backends.OnAlive(member, context.now, context.out);
-    if (record.IsWaiting())
-      BackendPool::OnAnswer(member, context.now - record.waiting_since);
+    if (record.IsWaiting()) {
+      const Microseconds time = context.now - record.waiting_since;
+      BackendPool::OnAnswer(member, time);
+      context.backends.RecordLoad(member, packet.key.service, time,
+                                  context.now);
+    }
     ClearAnswerDeadline(record, member);
   }
   if (packet.length == 0)
--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -123,6 +123,42 @@
       GossipUpdate(update, members, random, out);
   }
 
+  /** Merges a peer's report about the load of backend servers. */
+  void OnServerLoadReport(TimePoint now,
+                          const ServerLoadReport& report,
+                          PacketOutput& out) {
+    const bool logs_ignored = this->pool.WithLock([&](BackendPool& backends) {
+      // The counter grows too fast for a line each while lists differ.
+      return !backends.OnLoadReport(report, now) &&
+             backends.LoadCounters().ignored % kIgnoredReportsPerLine == 1;
+    });
+    if (!logs_ignored)
+      return;
+    Decision decision;
+    decision.topic = Topic::kReachability;
+    decision.event = "load_report_ignored";
+    decision.reason = "other_list";
+    out.common.decisions.push_back(decision);
+  }
+
+  /** Sends a load report to a random live peer if one is due. */
+  void SendServerLoad(TimePoint now,
+                      const MemberView& members,
+                      RandomEngine& random,
+                      PacketOutput& out) {
+    const std::string bytes = this->pool.WithLock([&](BackendPool& backends) {
+      return backends.NextLoadReport(now, random);
+    });
+    if (!bytes.empty())
+      SendToRandom(bytes, 1, members, random, out);
+  }
+
+  /** @return Counters of load reports. */
+  ServerLoadCounters LoadCounters() const {
+    return this->pool.WithLock(
+        [](const BackendPool& backends) { return backends.LoadCounters(); });
+  }
+
   /**
    * Runs periodic work: health checks, late answers and expiry of flows.
    * @param flow_idle_timeout Time without a packet after which a flow expires.
@@ -173,6 +209,8 @@
   /** After a report about a backend server was sent or handled, peers' reports
    * about it are ignored for this time, so that the gossip ends. */
   static constexpr Milliseconds kUpdateSuppression{1500};
+  /** One of this many ignored load reports is logged. */
+  static constexpr uint64_t kIgnoredReportsPerLine = 100;
   /** Number of peers that a report is sent to (gossip). */
   static constexpr size_t kUpdateFanout = 3;
 
@@ -246,15 +284,22 @@
                            const MemberView& members,
                            RandomEngine& random,
                            PacketOutput& out) {
+    SendToRandom(Encode(update), kUpdateFanout, members, random, out);
+  }
+
+  /** Sends a datagram to `count` random live peers. */
+  static void SendToRandom(const std::string& bytes,
+                           size_t count,
+                           const MemberView& members,
+                           RandomEngine& random,
+                           PacketOutput& out) {
     std::vector<MemberInfo> alive;
     std::ranges::copy_if(members.members, std::back_inserter(alive),
                          [](const MemberInfo& member) {
                            return member.State() == MemberState::kAlive;
                          });
     std::vector<MemberInfo> chosen;
-    std::ranges::sample(alive, std::back_inserter(chosen), kUpdateFanout,
-                        random);
-    const std::string bytes = Encode(update);
+    std::ranges::sample(alive, std::back_inserter(chosen), count, random);
     for (const MemberInfo& member : chosen)
       out.common.datagrams.push_back({Channel::kPeer, member.peer, bytes});
   }
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -54,6 +54,7 @@
       this->ForgetInstance(member, now);
     }
     if (member.incarnation != vm.incarnation) {
+      member.load = {};
       member.warm_up_ends_at = now + vm.warm_up_left;
       member.stopping_until = TimePoint{};
     }
@@ -73,6 +74,8 @@
     member.delisted_at = kNever;
   }
   this->IndexTags();
+  if (this->limits.share_load)
+    this->load_exchange.SetServers(this->members);
   return restarted;
 }
 
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -17,6 +17,7 @@
 #include "document/vmlist_type.h"
 #include "packet/pool_type.h"
 #include "packet/reset_guard_base.h"
+#include "packet/server_load_base.h"
 
 namespace cuminvane {
 
@@ -149,6 +150,32 @@
             const SelfEvidence& evidence,
             PacketOutput& out);
 
+  /** Records an answer for the load that balancers share; does nothing unless
+   * the limits enable it.
+   * @param service Address of the flow's class of work. */
+  void RecordLoad(PoolMember& member,
+                  const Endpoint& service,
+                  Microseconds time,
+                  TimePoint now) {
+    if (this->limits.share_load)
+      this->load_exchange.OnAnswer(member, service, time, now);
+  }
+  /** @return The datagram of a load report that is due; empty if none is. */
+  std::string NextLoadReport(TimePoint now, RandomEngine& random) {
+    return this->limits.share_load
+               ? this->load_exchange.NextReport(this->members, now, random)
+               : std::string();
+  }
+  /** Merges a load report. @return Whether it was applied. */
+  bool OnLoadReport(const ServerLoadReport& report, TimePoint now) {
+    return this->limits.share_load &&
+           this->load_exchange.OnReport(report, this->members, now);
+  }
+  /** @return Counters of load reports. */
+  const ServerLoadCounters& LoadCounters() const {
+    return this->load_exchange.Counters();
+  }
+
   /** @return Whether this balancer can vouch for its documents. */
   const ResetGuard& Guard() const { return this->guard; }
 
@@ -257,7 +284,8 @@
   /** Moving average, by service, of waiting flows per slot of the backend
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
-  ResetGuard guard;  ///< See Guard.
+  ServerLoadExchange load_exchange;  ///< Unused unless limits.share_load.
+  ResetGuard guard;                  ///< See Guard.
   uint64_t era = 0;  ///< Era of the list of VMs; see kVersionsPerEra.
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "packet/pool_base.h"
+#include "packet/server_load_func.h"
 
 namespace cuminvane {
 namespace {
@@ -22,6 +23,34 @@
  * preferred. */
 constexpr double kSpreadAllUtilisation = 0.8;
 
+/** @return The candidates' capacity relative to each other by what balancers
+ * share; empty if all count as equal. */
+std::vector<double> CapacityFactors(const std::vector<PoolMember*>& candidates,
+                                    TimePoint now) {
+  double sum_speed = 0;
+  double sum_delay = 0;
+  int known = 0;
+  for (const PoolMember* const member : candidates) {
+    sum_delay += DelayOf(member->load, now);
+    if (!IsSlownessKnown(member->load, now))
+      continue;
+    sum_speed += 1 / member->load.slowness.mean;
+    ++known;
+  }
+  const double mean_speed = known == 0 ? 0 : sum_speed / known;
+  const double mean_delay = sum_delay / static_cast<double>(candidates.size());
+  std::vector<double> factors;
+  bool all_equal = true;
+  for (const PoolMember* const member : candidates) {
+    factors.push_back(
+        CapacityFactorOf(member->load, mean_speed, mean_delay, now));
+    all_equal &= factors.back() == 1;
+  }
+  if (all_equal)
+    factors.clear();
+  return factors;
+}
+
 }  // namespace
 
 std::vector<PoolMember*> BackendPool::Candidates(ServiceId service,
@@ -66,13 +95,25 @@
     measured += member->answer_ms > 0 ? 1 : 0;
   }
   const double mean_answer_ms = measured == 0 ? 0 : sum_ms / measured;
+  const std::vector<double> factors = this->limits.share_load
+                                          ? CapacityFactors(candidates, now)
+                                          : std::vector<double>();
   // A random start makes the balancers choose differently among equal loads.
   const size_t start = DrawIndex(random, candidates.size());
+  std::uniform_real_distribution<double> cost(0, 1);
   PoolMember* best = nullptr;
   double best_load = 0;
   for (size_t step = 0; step < candidates.size(); ++step) {
     PoolMember* const member = candidates[(start + step) % candidates.size()];
-    const double load = this->Load(*member, mean_answer_ms, now);
+    double load = this->Load(*member, mean_answer_ms, now);
+    if (!factors.empty()) {
+      // With a random cost of the new flow, servers without flows of this
+      // balancer are chosen about in proportion to their capacity; with a fixed
+      // cost, all balancers would choose the fastest one.
+      const double flows = member->flows + member->waiting;
+      load *= (flows + cost(random)) / (flows + 1) /
+              factors[(start + step) % candidates.size()];
+    }
     if (best != nullptr && load >= best_load)
       continue;
     best = member;
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -12,6 +12,7 @@
 #include "decision/output_type.h"
 #include "message/message_type.h"
 #include "packet/packet_type.h"
+#include "packet/server_load_type.h"
 
 namespace cuminvane {
 
@@ -134,6 +135,7 @@
   double answer_ms = 0;  ///< Moving average of its answer times in
                          ///< milliseconds; 0 means none was measured.
   Liveness liveness;     ///< Its health as this balancer knows it.
+  ServerLoad load;       ///< Its load; unknown unless balancers share it.
 
   bool operator==(const PoolMember&) const = default;
 };
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -136,7 +136,9 @@
       true, true,
       FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
                     this->balancer.GetPacketPlane().FlowCount(),
-                    this->balancer.GetPacketPlane().Backends(), merged) +
+                    this->balancer.GetPacketPlane().Backends(),
+                    this->balancer.GetPacketPlane().LoadCounters(), merged,
+                    now) +
           this->document_monitor.FormatMetrics(
               this->balancer.GetTokenPlane().Control().ReadSelfEvidence(now),
               now) +
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "decision/decision_func.h"
+#include "packet/server_load_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
@@ -62,6 +63,8 @@
     entry["flows"] = member.flows;
     entry["waiting"] = member.waiting;
     entry["answer_ms"] = member.answer_ms;
+    entry["speed"] = SpeedOf(member.load, now);
+    entry["delay"] = DelayOf(member.load, now);
     list.append(entry);
   }
   return list;
@@ -119,19 +122,28 @@
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics) {
+                          const ServerLoadCounters& load_reports,
+                          const Metrics& metrics,
+                          TimePoint now) {
   std::ostringstream out;
   out << "cuminvane_config_version "
       << ToString(blackboard.config.value->version)
       << "\ncuminvane_vm_list_version "
       << ToString(blackboard.vms.value->version) << "\ncuminvane_members "
       << blackboard.members.value->members.size() << "\ncuminvane_opaque_flows "
-      << flows << "\n";
+      << flows << "\ncuminvane_load_reports_sent_total " << load_reports.sent
+      << "\ncuminvane_load_reports_received_total " << load_reports.received
+      << "\ncuminvane_load_reports_ignored_total " << load_reports.ignored
+      << "\n";
   for (const auto& [vm, member] : backends) {
     const std::string labels = "{vm=\"" + ToString(vm) + "\"} ";
     out << "cuminvane_backend_flows" << labels << member.flows << "\n"
         << "cuminvane_backend_waiting" << labels << member.waiting << "\n"
         << "cuminvane_backend_answer_ms" << labels << member.answer_ms << "\n"
+        << "cuminvane_backend_speed" << labels << SpeedOf(member.load, now)
+        << "\n"
+        << "cuminvane_backend_delay" << labels << DelayOf(member.load, now)
+        << "\n"
         << "cuminvane_backend_reachable" << labels
         << (member.liveness.reachability <= Reachability::kSuspect ? 1 : 0)
         << "\n"
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -40,13 +40,17 @@
  * @param blackboard Snapshot of the shared state: documents and members.
  * @param flows Number of opaque flows in the flow table.
  * @param backends Backend servers of opaque flows.
+ * @param load_reports Counters of load reports.
  * @param metrics Counters, merged over all threads.
+ * @param now Time at which the load of backend servers is stated.
  * @return Counters and histograms in the Prometheus text format.
  */
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
-                          const Metrics& metrics);
+                          const ServerLoadCounters& load_reports,
+                          const Metrics& metrics,
+                          TimePoint now);
 
 /**
  * @param text Text to parse.
--- a/src/table/experiment_table.h
+++ b/src/table/experiment_table.h
@@ -27,6 +27,10 @@
            "Seed of the random numbers; --seed overrides it."},
     KeyRow{"fleet", "length_ms", ValueKind::kInteger, "30000", 1000, 3600000,
            "", "Duration of the load, in milliseconds."},
+    KeyRow{"fleet", "measured_from_ms", ValueKind::kInteger, "0", 0, 3600000,
+           "",
+           "Time from the start of the load from which the busy time of slots "
+           "and the tries shed by full servers are reported, in milliseconds."},
     KeyRow{"fleet", "data_centres", ValueKind::kWordList, "a,b,c", 0, 0, "",
            "Names of the data centres."},
     KeyRow{"fleet", "balancers", ValueKind::kInteger, "1", 1, 1000, "",
@@ -50,12 +54,18 @@
     KeyRow{"service", "cold_ms", ValueKind::kInteger, "2000", 0, 600000, "",
            "Slow-start time of a backend server after its start, in "
            "milliseconds."},
+    KeyRow{"service", "speeds", ValueKind::kWordList, "1", 0, 0, "",
+           "Speeds of the backend servers, given to them in turn; a server of "
+           "speed 2 runs a request in half of the time."},
     KeyRow{"work", "service", ValueKind::kWord, nullptr, 0, 0, "",
            "Service that runs the requests."},
     KeyRow{"work", "idempotent", ValueKind::kBoolean, "yes", 0, 0, "",
            "Whether a request may be run twice."},
     KeyRow{"work", "fresh", ValueKind::kBoolean, "no", 0, 0, "",
            "Whether each request opens a flow of its own."},
+    KeyRow{"work", "flow_life_ms", ValueKind::kInteger, "0", 0, 3600000, "",
+           "Longest life of a kept flow, in milliseconds; lives are uniformly "
+           "distributed up to it. 0: a flow is kept until it is lost."},
     KeyRow{"work", "per_s", ValueKind::kDecimal, "50", 0.01, 1000000, "",
            "Requests per second in each data centre."},
     KeyRow{"work", "users", ValueKind::kInteger, "40", 1, 100000, "",
--- a/src/table/flow_limit_table.h
+++ b/src/table/flow_limit_table.h
@@ -46,6 +46,9 @@
              "backend servers are busy, flows whose answer can still be in "
              "time take precedence. The last retransmission is placed in any "
              "case. 0: no limit."},
+      KeyRow{section, "share_load", ValueKind::kBoolean, "no", 0, 0, "",
+             "Whether balancers report the speed and delay of backend servers "
+             "to each other and place new flows by them."},
   };
 }
 
--- a/tests/fuzz/decoders_fuzz.cc
+++ b/tests/fuzz/decoders_fuzz.cc
@@ -35,7 +35,7 @@
 /** Decodes the datagram as each message between balancers. */
 void DecodePeerDatagram(const std::string& bytes) {
   DecodeAs<Ping, Ack, PingRequest, DocumentPush, DocumentFetch, DocumentAnswer,
-           ReachabilityUpdate, RelayedPacket, DispatchIntent,
+           ReachabilityUpdate, ServerLoadReport, RelayedPacket, DispatchIntent,
            DispatchIntentReply>(bytes);
 }
 
