Choose servers in proportion to capacity with few flows per server

Cause: with one flow or less per server, the uniform cost of a new flow always led to a server without flows: at 81 balancers a fast server had 1.34 times the flows of a slow one in place of 2.4. Also a report alone never made a server known, so no balancer knew the servers of another data centre.

Change: outside the dead band each candidate has a credit that carries over what one choice can't share out. Two reports make a server known, with a slowness bounded to 1/2.5 to 2.5.

--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -232,11 +232,11 @@
   bool PrefersLocal(ServiceId service, RandomEngine& random) const;
   /**
    * @param mean_answer_ms Mean answer time of all candidates; 0 means unknown.
-   * @return Flows per slot that the backend server would have with one more.
+   * @return The slots that the backend server offers to new flows.
    */
-  double Load(const PoolMember& member,
-              double mean_answer_ms,
-              TimePoint now) const;
+  static double Capacity(const PoolMember& member,
+                         double mean_answer_ms,
+                         TimePoint now);
   void StartHealthCheck(PoolMember& member,
                         FailureSignal failure_signal,
                         TimePoint now,
--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -1,8 +1,10 @@
 /** @file pool_placement.cc Choice of the backend server of a new flow. */
 
 #include <algorithm>
+#include <functional>
 #include <random>
 
+#include "packet/placement_credit_func.h"
 #include "packet/pool_base.h"
 #include "packet/server_load_func.h"
 
@@ -74,15 +76,15 @@
   return suspects.empty() ? others : suspects;
 }
 
-double BackendPool::Load(const PoolMember& member,
-                         double mean_answer_ms,
-                         TimePoint now) const {
+double BackendPool::Capacity(const PoolMember& member,
+                             double mean_answer_ms,
+                             TimePoint now) {
   double capacity = static_cast<double>(member.slots);
   if (member.warm_up_ends_at > now)
     capacity *= kSlowStartShare;
   if (mean_answer_ms > 0 && member.answer_ms > kSlowFactor * mean_answer_ms)
     capacity *= mean_answer_ms / member.answer_ms;
-  return (member.flows + member.waiting + 1) / capacity;
+  return capacity;
 }
 
 PoolMember* BackendPool::LeastLoaded(const std::vector<PoolMember*>& candidates,
@@ -95,25 +97,26 @@
     measured += member->answer_ms > 0 ? 1 : 0;
   }
   const double mean_answer_ms = measured == 0 ? 0 : sum_ms / measured;
-  const std::vector<double> factors = this->limits.share_load
-                                          ? CapacityFactors(candidates, now)
-                                          : std::vector<double>();
+  std::vector<double> capacities;
+  for (const PoolMember* const member : candidates)
+    capacities.push_back(Capacity(*member, mean_answer_ms, now));
+  if (this->limits.share_load) {
+    const std::vector<double> factors = CapacityFactors(candidates, now);
+    if (!factors.empty()) {
+      std::ranges::transform(capacities, factors, capacities.begin(),
+                             std::multiplies<>());
+      return ChooseByCredit(candidates, capacities, now, random);
+    }
+  }
   // A random start makes the balancers choose differently among equal loads.
   const size_t start = DrawIndex(random, candidates.size());
-  std::uniform_real_distribution<double> cost(0, 1);
   PoolMember* best = nullptr;
   double best_load = 0;
   for (size_t step = 0; step < candidates.size(); ++step) {
-    PoolMember* const member = candidates[(start + step) % candidates.size()];
-    double load = this->Load(*member, mean_answer_ms, now);
-    if (!factors.empty()) {
-      // With a random cost of the new flow, servers without flows of this
-      // balancer are chosen about in proportion to their capacity; with a fixed
-      // cost, all balancers would choose the fastest one.
-      const double flows = member->flows + member->waiting;
-      load *= (flows + cost(random)) / (flows + 1) /
-              factors[(start + step) % candidates.size()];
-    }
+    const size_t index = (start + step) % candidates.size();
+    PoolMember* const member = candidates[index];
+    const double load =
+        (member->flows + member->waiting + 1) / capacities[index];
     if (best != nullptr && load >= best_load)
       continue;
     best = member;
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -136,6 +136,8 @@
                          ///< milliseconds; 0 means none was measured.
   Liveness liveness;     ///< Its health as this balancer knows it.
   ServerLoad load;       ///< Its load; unknown unless balancers share it.
+  double credit = 0;     ///< Flows that it is behind; see ChooseByCredit.
+  TimePoint credited_at;  ///< Last update of `credit`; TimePoint{} if none.
 
   bool operator==(const PoolMember&) const = default;
 };
--- a/src/packet/server_load_func.cc
+++ b/src/packet/server_load_func.cc
@@ -31,6 +31,12 @@
 /** A report counts as at most this many times the known slowness or its
  * inverse, so that a balancer that reports nonsense moves it little. */
 constexpr double kMaxReportedChange = 1.5;
+/** Weight that a report adds while the slowness is unknown: with two reports it
+ * is used. One wrong report can't spread alone over a fleet that has just
+ * started. */
+constexpr double kFirstReportWeight = 0.75;
+/** Bound, and its inverse, of the slowness that a first report is taken for. */
+constexpr double kMaxFirstSlowness = 2.5;
 /** Delays of less than this many times the mean are ordinary queueing. */
 constexpr double kBusyDelay = 1.5;
 
@@ -128,17 +134,21 @@
     return load;
   ServerLoad merged = load;
   const double own = WeightAt(load.slowness, kSlownessHalfLife, now);
-  // A balancer without answers of its own adopts a report with little weight;
-  // else one wrong report would spread over a fleet that has just started.
-  const double reported =
-      IsSlownessKnown(load, now) ? kWeights.at(byte & 3U) : kWeights.front();
+  // The weight never exceeds what was reported, so echoes have no evidence.
+  double reported = kWeights.at(byte & 3U);
   double slowness = SlownessOf(slowness_code);
-  if (IsSlownessKnown(load, now))
+  if (IsSlownessKnown(load, now)) {
     slowness = std::clamp(slowness, load.slowness.mean / kMaxReportedChange,
                           load.slowness.mean * kMaxReportedChange);
+    merged.slowness.weight = std::max(own, reported);
+  } else {
+    slowness = std::clamp(slowness, 1 / kMaxFirstSlowness, kMaxFirstSlowness);
+    merged.slowness.weight =
+        std::max(own, std::min(reported, own + kFirstReportWeight));
+    reported = std::min(reported, kFirstReportWeight);
+  }
   merged.slowness.mean =
       (load.slowness.mean * own + slowness * reported) / (own + reported);
-  merged.slowness.weight = std::max(own, reported);
   merged.slowness.at = now;
   const size_t delay_code = (byte >> 2) & 3U;
   if (delay_code != 0)
