A known server's own last answers don't lower its capacity a second time

Cause: the correction by answer_ms does not age; in a model of waves a slow server kept a fleet of balancers' low capacity and got half of its share.

Change: for servers with a known shared slowness only that and the delay count.

--- a/src/packet/pool_placement.cc
+++ b/src/packet/pool_placement.cc
@@ -1,7 +1,6 @@
 /** @file pool_placement.cc Choice of the backend server of a new flow. */
 
 #include <algorithm>
-#include <functional>
 #include <random>
 
 #include "packet/placement_credit_func.h"
@@ -97,17 +96,20 @@
     measured += member->answer_ms > 0 ? 1 : 0;
   }
   const double mean_answer_ms = measured == 0 ? 0 : sum_ms / measured;
+  const std::vector<double> factors = this->limits.share_load
+                                          ? CapacityFactors(candidates, now)
+                                          : std::vector<double>();
   std::vector<double> capacities;
-  for (const PoolMember* const member : candidates)
-    capacities.push_back(Capacity(*member, mean_answer_ms, now));
-  if (this->limits.share_load) {
-    const std::vector<double> factors = CapacityFactors(candidates, now);
-    if (!factors.empty()) {
-      std::ranges::transform(capacities, factors, capacities.begin(),
-                             std::multiplies<>());
-      return ChooseByCredit(candidates, capacities, now, random);
-    }
+  for (size_t index = 0; index < candidates.size(); ++index) {
+    const PoolMember& member = *candidates[index];
+    // The shared slowness has the answer times in it. This balancer's own last
+    // answers may be old, and would count them twice.
+    const bool is_known = !factors.empty() && IsSlownessKnown(member.load, now);
+    capacities.push_back(Capacity(member, is_known ? 0 : mean_answer_ms, now) *
+                         (factors.empty() ? 1 : factors[index]));
   }
+  if (!factors.empty())
+    return ChooseByCredit(candidates, capacities, now, random);
   // A random start makes the balancers choose differently among equal loads.
   const size_t start = DrawIndex(random, candidates.size());
   PoolMember* best = nullptr;
