--- a/src/packet/placement_credit_func.cc
+++ b/src/packet/placement_credit_func.cc
@@ -34,7 +34,7 @@
   for (const PoolMember* const member : candidates)
     flows += member->flows;
   std::uniform_real_distribution<double> first_credit(-0.5, 0.5);
-  PoolMember* best = nullptr;
+  PoolMember* best = candidates.front();
   double best_lead = 0;
   for (size_t index = 0; index < candidates.size(); ++index) {
     PoolMember& member = *candidates[index];
@@ -52,7 +52,7 @@
     member.credited_at = now;
     const double lead =
         member.credit + share * (flows + 1) - member.flows - member.waiting;
-    if (best != nullptr && lead <= best_lead)
+    if (index != 0 && lead <= best_lead)
       continue;
     best = &member;
     best_lead = lead;
