--- a/src/packet/plane_base.h
+++ b/src/packet/plane_base.h
@@ -299,7 +299,8 @@
                            return member.State() == MemberState::kAlive;
                          });
     std::vector<MemberInfo> chosen;
-    std::ranges::sample(alive, std::back_inserter(chosen), count, random);
+    std::ranges::sample(alive, std::back_inserter(chosen),
+                        static_cast<std::ptrdiff_t>(count), random);
     for (const MemberInfo& member : chosen)
       out.common.datagrams.push_back({Channel::kPeer, member.peer, bytes});
   }
