--- a/src/document/settings_func.cc
+++ b/src/document/settings_func.cc
@@ -132,6 +132,7 @@
   limits.adaptive_slow_start = section.Boolean("adaptive_slow_start");
   limits.cold_over = section.Decimal("cold_over");
   limits.cold_slack = section.Decimal("cold_slack");
+  limits.share_load = section.Boolean("share_load");
   return limits;
 }
 
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -98,6 +98,9 @@
    * times `cold_over` plus `cold_slack` requests from all balancers. */
   double cold_over = 1;
   double cold_slack = 0;
+  /** Whether balancers report the load of backend servers to each other and
+   * place new flows by it. */
+  bool share_load = false;
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/packet/flow_shard_base.cc
+++ b/src/packet/flow_shard_base.cc
@@ -352,6 +352,8 @@
       const Microseconds time = context.now - record.waiting_since;
       BackendPool::OnAnswer(member, time);
       context.backends.OnPacedAnswer(member, time, context.now);
+      context.backends.RecordLoad(member, packet.key.service, time,
+                                  context.now);
     }
     ClearAnswerDeadline(record, member);
   }
--- a/src/packet/pool_base.cc
+++ b/src/packet/pool_base.cc
@@ -63,6 +63,7 @@
     }
     const bool is_new_instance = member.incarnation != vm.incarnation;
     if (is_new_instance) {
+      member.load = {};
       member.pace.warm_up_seen = TimePoint{};
       member.stopping_until = TimePoint{};
     }
@@ -88,6 +89,8 @@
   }
   this->evacuations.Sync(list, now, this->members);
   this->IndexTags();
+  if (this->limits.share_load)
+    this->load_exchange.SetServers(this->members);
   return restarted;
 }
 
--- a/src/packet/pool_type.h
+++ b/src/packet/pool_type.h
@@ -14,6 +14,7 @@
 #include "packet/cold_limit_type.h"
 #include "packet/pace_type.h"
 #include "packet/packet_type.h"
+#include "packet/server_load_type.h"
 
 namespace cuminvane {
 
@@ -154,6 +155,9 @@
   Liveness liveness;     ///< Its health as this balancer knows it.
   Pace pace;             ///< Its slow start, if it is adaptive.
   ColdShare cold_share;  ///< This balancer's share of its rate limit.
+  ServerLoad load;       ///< Its load; unknown unless balancers share it.
+  double credit = 0;     ///< Flows that it is behind; see ChooseByCredit.
+  TimePoint credited_at;  ///< Last update of `credit`; TimePoint{} if none.
 
   bool operator==(const PoolMember&) const = default;
 };
--- a/src/shell/daemon_base.cc
+++ b/src/shell/daemon_base.cc
@@ -137,7 +137,8 @@
       FormatMetrics(*this->balancer.GetTokenPlane().ReadBlackboard(),
                     this->balancer.GetPacketPlane().FlowCount(),
                     this->balancer.GetPacketPlane().Backends(),
-                    this->balancer.GetPacketPlane().Evacuations(), merged,
+                    this->balancer.GetPacketPlane().Evacuations(),
+                    this->balancer.GetPacketPlane().LoadCounters(), merged,
                     now) +
           this->document_monitor.FormatMetrics(
               this->balancer.GetTokenPlane().Control().ReadSelfEvidence(now),
--- a/src/table/flow_limit_table.h
+++ b/src/table/flow_limit_table.h
@@ -58,6 +58,9 @@
       KeyRow{section, "cold_slack", ValueKind::kDecimal, "0", 0, 1000000, "",
              "Requests per second that a cold backend server gets in addition "
              "to cold_per_s x cold_over."},
+      KeyRow{section, "share_load", ValueKind::kBoolean, "no", 0, 0, "",
+             "Whether balancers report the speed and delay of backend servers "
+             "to each other and place new flows by them."},
   };
 }
 
