--- a/src/balancer/balancer_base.h
+++ b/src/balancer/balancer_base.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "decision/drop_func.h"
+#include "packet/cold_limit_func.h"
 #include "packet/plane_base.h"
 #include "request/token_plane_base.h"
 
@@ -45,6 +46,16 @@
               RandomEngine& random,
               PacketOutput& out) {
     const Result<DatagramHeader> header = DecodeHeader(bytes);
+    if (header && header.value().type == MessageType::kServerLoadReport &&
+        this->settings.flows.share_load) {
+      const Result<ServerLoadReport> report =
+          Decode<ServerLoadReport>(bytes, header.value());
+      if (report)
+        this->packet_plane.OnServerLoadReport(now, report.value(), out);
+      else
+        ReportDrop(report.error().code, "peer", out.common);
+      return;
+    }
     if (!header || header.value().type != MessageType::kReachabilityUpdate) {
       this->token_plane.OnPeer(now, from, bytes, random, out.common);
       this->SyncPacketPlane(now);
@@ -117,8 +128,14 @@
     this->ReadMembers(*view);
     SelfEvidence evidence = this->token_plane.Control().ReadSelfEvidence(now);
     evidence.controls = this->controls;
+    evidence.live_balancers = this->live_balancers;
+    evidence.self = this->settings.id;
+    evidence.known_balancers = this->known_balancers;
+    evidence.hears_all_balancers = this->hears_all_balancers;
     this->packet_plane.Tick(now, view->config.value->flow_idle_timeout,
                             this->local_balancers, evidence, out);
+    if (this->settings.flows.share_load)
+      this->packet_plane.SendServerLoad(now, *view->members.value, random, out);
   }
 
   /** @return Whether this balancer is ready to receive callers' packets. */
@@ -152,7 +169,8 @@
       this->packet_plane.Sync(*view, now);
   }
 
-  /** Updates `local_balancers` and `controls` if the membership has changed.
+  /** Updates `local_balancers`, `known_balancers` and `controls` if the
+   * membership has changed.
    */
   void ReadMembers(const BlackboardView& view) {
     if (this->known_members == view.members.value)
@@ -162,6 +180,11 @@
         DataCentreIdOf(this->settings.data_centre);
     std::vector<Endpoint> local;
     std::vector<Endpoint> all;
+    const ColdSharers sharers =
+        ColdSharersOf(*view.members.value, this->settings);
+    this->known_balancers =
+        std::make_shared<const std::vector<VmId>>(sharers.balancers);
+    this->hears_all_balancers = sharers.hears_all;
     for (const MemberInfo& member : view.members.value->members) {
       if (member.State() != MemberState::kAlive)
         continue;
@@ -170,6 +193,7 @@
         local.push_back(member.peer);
     }
     this->local_balancers = 1 + static_cast<int>(local.size());
+    this->live_balancers = 1 + static_cast<int>(all.size());
     // On a congested or cut link all balancers look dead, so a check without a
     // control would be no proof.
     if (all.empty() && this->settings.platform != Endpoint{})
@@ -198,8 +222,14 @@
   std::shared_ptr<const MemberView> known_members;
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
+  /** See SelfEvidence::known_balancers. */
+  std::shared_ptr<const std::vector<VmId>> known_balancers;
+  /** See SelfEvidence::hears_all_balancers. */
+  bool hears_all_balancers = false;
   /** Live balancers in this data centre, including this one. */
   int local_balancers = 1;
+  /** Live balancers in all data centres, including this one. */
+  int live_balancers = 1;
 };
 
 }  // namespace cuminvane
--- a/src/document/settings_type.h
+++ b/src/document/settings_type.h
@@ -90,6 +90,17 @@
    * lower because callers that retransmit have waited already, and flows whose
    * answer can still be in time have priority. 0 means no limit. */
   int64_t retransmission_depth_limit = 1;
+  /** Whether the answers of a backend server that has started or recovered
+   * decide how many new flows it gets (slow start), instead of a fixed share of
+   * its slots and a fixed delay. */
+  bool adaptive_slow_start = false;
+  /** In any second a cold backend server gets less than Service::cold_per_s
+   * times `cold_over` plus `cold_slack` requests from all balancers. */
+  double cold_over = 1;
+  double cold_slack = 0;
+  /** Whether balancers report the load of backend servers to each other and
+   * place new flows by it. */
+  bool share_load = false;
 
   bool operator==(const FlowLimits&) const = default;
 };
--- a/src/member/evidence_type.h
+++ b/src/member/evidence_type.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/endpoint_type.h"
+#include "base/ids_type.h"
 #include "base/time_type.h"
 
 namespace cuminvane {
@@ -26,6 +27,14 @@
    * balancers, preferably of the own data centre, else the platform's store.
    * Null or empty if there is none. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
+  /** Live balancers in all data centres, including this one. */
+  int live_balancers = 1;
+  VmId self;  ///< VM of this balancer.
+  /** All other balancers known in the last ten minutes, dead ones included, and
+   * the seed peers. Null if they were not read yet. */
+  std::shared_ptr<const std::vector<VmId>> known_balancers;
+  /** Whether none of `known_balancers` is dead or unheard of. */
+  bool hears_all_balancers = false;
 
   bool operator==(const SelfEvidence&) const = default;
 };
--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -15,16 +15,18 @@
 #include "document/config_type.h"
 #include "document/settings_type.h"
 #include "document/vmlist_type.h"
+#include "packet/cold_limit_base.h"
 #include "packet/evacuation_base.h"
 #include "packet/pool_type.h"
 #include "packet/reset_guard_base.h"
+#include "packet/server_load_base.h"
 
 namespace cuminvane {
 
 /** A backend server chosen for a new flow. */
 struct PoolChoice {
   PoolMember* member = nullptr;  ///< Null if no backend server accepts flows.
-  const char* reason = "";       ///< Why it was chosen, as logged.
+  const char* reason = "";       ///< Why it, or none, was chosen, as logged.
 
   bool operator==(const PoolChoice&) const = default;
 };
@@ -116,6 +118,14 @@
                    PacketOutput& out);
   /** Updates the average answer time. @param time Time that an answer took. */
   static void OnAnswer(PoolMember& member, Microseconds time);
+  /** @return The rate limit of cold backend servers. */
+  ColdLimit& GetColdLimit() { return this->cold_limit; }
+  /** Updates the slow start of a backend server that has answered a request.
+   * @param time Time that the answer took. */
+  void OnPacedAnswer(PoolMember& member, Microseconds time, TimePoint now);
+  /** Updates the slow start of a backend server whose answer is overdue.
+   * @param since When the unanswered packet was sent. */
+  void OnPacedLate(PoolMember& member, TimePoint since, TimePoint now);
   /**
    * Handles a failure signal: suspects a reachable backend server and starts a
    * health check. Ignored if the backend server is not reachable, has answered
@@ -150,6 +160,32 @@
             const SelfEvidence& evidence,
             PacketOutput& out);
 
+  /** Records an answer for the load that balancers share; does nothing unless
+   * the limits enable it.
+   * @param service Address of the flow's class of work. */
+  void RecordLoad(PoolMember& member,
+                  const Endpoint& service,
+                  Microseconds time,
+                  TimePoint now) {
+    if (this->limits.share_load)
+      this->load_exchange.OnAnswer(member, service, time, now);
+  }
+  /** @return The datagram of a load report that is due; empty if none is. */
+  std::string NextLoadReport(TimePoint now, RandomEngine& random) {
+    return this->limits.share_load
+               ? this->load_exchange.NextReport(this->members, now, random)
+               : std::string();
+  }
+  /** Merges a load report. @return Whether it was applied. */
+  bool OnLoadReport(const ServerLoadReport& report, TimePoint now) {
+    return this->limits.share_load &&
+           this->load_exchange.OnReport(report, this->members, now);
+  }
+  /** @return Counters of load reports. */
+  const ServerLoadCounters& LoadCounters() const {
+    return this->load_exchange.Counters();
+  }
+
   /** @return Whether this balancer can vouch for its documents. */
   const ResetGuard& Guard() const { return this->guard; }
 
@@ -186,10 +222,37 @@
    * from a loss, has stayed so until Liveness::trusted_from. */
   bool IsTrusted(const PoolMember& member, TimePoint now) const;
   /** @return The backend servers of the service in the best available state:
-   * trusted ones, else suspected or avoided ones, else unavailable ones. */
+   * trusted ones, else those in slow start, else suspected or avoided ones,
+   * else unavailable ones.
+   * @param paced Receives those in adaptive slow start.
+   * @param cold_limited Set if the rate limit of a cold backend server left it
+   * out. */
   std::vector<PoolMember*> Candidates(ServiceId service,
                                       VmId avoided,
-                                      TimePoint now);
+                                      TimePoint now,
+                                      std::vector<PoolMember*>& paced,
+                                      bool& cold_limited);
+  /** Begins the adaptive slow start of a backend server that has started or
+   * recovered since the last call.
+   * @return Whether it is in adaptive slow start. */
+  bool RefreshPace(PoolMember& member, TimePoint now) const;
+  /** Logs the slow starts that have begun, and ends those that are complete. */
+  void UpdatePaces(TimePoint now, PacketOutput& out);
+  /** Draws whether a new flow goes to a backend server in slow start.
+   * @return That backend server; null if the flow is placed as usual. */
+  PoolMember* DrawPaced(const std::vector<PoolMember*>& paced,
+                        TimePoint now,
+                        RandomEngine& random) const;
+  /** @return Share of the backend server's slots that counts as its capacity.
+   */
+  double CapacityWeight(const PoolMember& member, TimePoint now) const;
+  /** @return Mean answer time in milliseconds of the service's backend servers
+   * that are not in slow start; 0 if none was measured. */
+  double MeanAnswerMs(ServiceId service) const;
+  /** @return What this balancer may take of the capacity of a backend server
+   * in slow start.
+   * @param mean_answer_ms Result of MeanAnswerMs for its service. */
+  PaceShare PaceShareOf(const PoolMember& member, double mean_answer_ms) const;
   /**
    * Leaves out candidates that would queue a new flow while others would not:
    * an open flow without a request costs a backend server little, so a server
@@ -211,11 +274,11 @@
   bool PrefersLocal(ServiceId service, RandomEngine& random) const;
   /**
    * @param mean_answer_ms Mean answer time of all candidates; 0 means unknown.
-   * @return Flows per slot that the backend server would have with one more.
+   * @return The slots that the backend server offers to new flows.
    */
-  double Load(const PoolMember& member,
-              double mean_answer_ms,
-              TimePoint now) const;
+  double Capacity(const PoolMember& member,
+                  double mean_answer_ms,
+                  TimePoint now) const;
   void StartHealthCheck(PoolMember& member,
                         FailureSignal failure_signal,
                         TimePoint now,
@@ -287,9 +350,11 @@
   /** Moving average, by service, of waiting flows per slot of the backend
    * servers in this data centre. */
   std::map<ServiceId, double> local_utilisation;
-  ResetGuard guard;  ///< See Guard.
+  ServerLoadExchange load_exchange;  ///< Unused unless limits.share_load.
+  ResetGuard guard;                  ///< See Guard.
   uint64_t era = 0;  ///< Era of the list of VMs; see kVersionsPerEra.
   PoolEvacuations evacuations;  ///< See Evacuations.
+  ColdLimit cold_limit;         ///< See GetColdLimit.
   /** See SelfEvidence::controls. */
   std::shared_ptr<const std::vector<Endpoint>> controls;
   size_t control_index =
@@ -306,6 +371,11 @@
   TimePoint last_conclusive_at;    ///< Last conclusive result of a check.
   TimePoint last_inconclusive_at;  ///< Last inconclusive one; TimePoint{} if
                                    ///< none.
+  int local_balancers = 1;         ///< See Tick.
+  int live_balancers = 1;          ///< See SelfEvidence::live_balancers.
+  /** Until then the number of balancers is uncertain, and no new flow goes to a
+   * backend server in slow start while others can be chosen. */
+  TimePoint settled_at = kNever;
 };
 
 }  // namespace cuminvane
--- a/src/shell/explain_func.cc
+++ b/src/shell/explain_func.cc
@@ -47,6 +47,10 @@
     ReasonMeaning{"evacuated",
                   "all data centres of its service that could take it are "
                   "evacuated"},
+    ReasonMeaning{"cold_limit",
+                  "the backend servers of its service were cold and their rate "
+                  "limit left "
+                  "this balancer nothing; the flow was reset at once"},
     ReasonMeaning{
         "backend_full",
         "its backend server was full; the retransmission of the opening "
--- a/src/shell/status_func.cc
+++ b/src/shell/status_func.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 
 #include "decision/decision_func.h"
+#include "packet/pace_func.h"
+#include "packet/server_load_func.h"
 #include "shell/log_func.h"
 
 namespace cuminvane {
@@ -66,6 +68,9 @@
     entry["flows"] = member.flows;
     entry["waiting"] = member.waiting;
     entry["answer_ms"] = member.answer_ms;
+    entry["pace"] = WeightAt(member.pace, now);
+    entry["speed"] = SpeedOf(member.load, now);
+    entry["delay"] = DelayOf(member.load, now);
     list.append(entry);
   }
   return list;
@@ -141,6 +146,7 @@
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
                           const std::vector<EvacuatedDataCentre>& evacuations,
+                          const ServerLoadCounters& load_reports,
                           const Metrics& metrics,
                           TimePoint now) {
   std::ostringstream out;
@@ -149,15 +155,24 @@
       << "\ncuminvane_vm_list_version "
       << ToString(blackboard.vms.value->version) << "\ncuminvane_members "
       << blackboard.members.value->members.size() << "\ncuminvane_opaque_flows "
-      << flows << "\n";
+      << flows << "\ncuminvane_load_reports_sent_total " << load_reports.sent
+      << "\ncuminvane_load_reports_received_total " << load_reports.received
+      << "\ncuminvane_load_reports_ignored_total " << load_reports.ignored
+      << "\n";
   for (const auto& [vm, member] : backends) {
     const std::string labels = "{vm=\"" + ToString(vm) + "\"} ";
     out << "cuminvane_backend_flows" << labels << member.flows << "\n"
         << "cuminvane_backend_waiting" << labels << member.waiting << "\n"
         << "cuminvane_backend_answer_ms" << labels << member.answer_ms << "\n"
+        << "cuminvane_backend_speed" << labels << SpeedOf(member.load, now)
+        << "\n"
+        << "cuminvane_backend_delay" << labels << DelayOf(member.load, now)
+        << "\n"
         << "cuminvane_backend_reachable" << labels
         << (member.liveness.reachability <= Reachability::kSuspect ? 1 : 0)
         << "\n"
+        << "cuminvane_backend_pace" << labels << WeightAt(member.pace, now)
+        << "\n"
         << "cuminvane_backend_listed" << labels
         << (member.delisted_at == kNever ? 1 : 0) << "\n"
         << "cuminvane_backend_leaving" << labels << (member.leaving ? 1 : 0)
--- a/src/shell/status_func.h
+++ b/src/shell/status_func.h
@@ -45,14 +45,16 @@
  * @param flows Number of opaque flows in the flow table.
  * @param backends Backend servers of opaque flows.
  * @param evacuations Evacuated data centres.
+ * @param load_reports Counters of load reports.
  * @param metrics Counters, merged over all threads.
- * @param now Current time.
+ * @param now The current time.
  * @return Counters and histograms in the Prometheus text format.
  */
 std::string FormatMetrics(const BlackboardView& blackboard,
                           size_t flows,
                           const std::map<VmId, PoolMember>& backends,
                           const std::vector<EvacuatedDataCentre>& evacuations,
+                          const ServerLoadCounters& load_reports,
                           const Metrics& metrics,
                           TimePoint now);
 
--- a/src/table/flow_limit_table.h
+++ b/src/table/flow_limit_table.h
@@ -46,6 +46,21 @@
              "backend servers are busy, flows whose answer can still be in "
              "time take precedence. The last retransmission is placed in any "
              "case. 0: no limit."},
+      KeyRow{section, "adaptive_slow_start", ValueKind::kBoolean, "no", 0, 0,
+             "",
+             "Whether the answers of a backend server that has started or "
+             "recovered decide how fast it gets new flows. no: half of its "
+             "slots until cold_ms ends, and distrust_ms after a recovery."},
+      KeyRow{section, "cold_over", ValueKind::kDecimal, "1", 0, 1000, "",
+             "Factor of a service's cold_per_s: in any second the requests of "
+             "all balancers to one cold backend server stay under cold_per_s x "
+             "cold_over + cold_slack."},
+      KeyRow{section, "cold_slack", ValueKind::kDecimal, "0", 0, 1000000, "",
+             "Requests per second that a cold backend server gets in addition "
+             "to cold_per_s x cold_over."},
+      KeyRow{section, "share_load", ValueKind::kBoolean, "no", 0, 0, "",
+             "Whether balancers report the speed and delay of backend servers "
+             "to each other and place new flows by them."},
   };
 }
 
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -286,7 +286,7 @@
   CHECK(evacuations[0].flows > 0);
   const std::string page =
       FormatMetrics(*plane.balancer->GetTokenPlane().ReadBlackboard(), 0, {},
-                    evacuations, Metrics(), plane.now);
+                    evacuations, ServerLoadCounters(), Metrics(), plane.now);
   CHECK_CONTAINS("cuminvane_evacuated{data_centre=\"b\"} 1\n", page);
   CHECK_CONTAINS("cuminvane_evacuated_seconds{data_centre=\"b\"} 2\n", page);
   CHECK_CONTAINS("cuminvane_evacuated_flows{data_centre=\"b\"} " +
