--- a/src/packet/pool_base.h
+++ b/src/packet/pool_base.h
@@ -297,9 +297,8 @@
   bool NeedsSecondCheck(const Liveness& liveness, TimePoint now) const;
   /**
    * Marks a backend server as unavailable after a check without success.
-   * @return Whether its open flows are lost. They are kept unless the flows
-   * themselves show that the backend server is gone, since a check can also be
-   * refused by a full server, and lost on a congested link.
+   * @return Whether its open flows are lost. After a refusal they are kept
+   * until HasCrashed, since a full server refuses checks too.
    */
   bool LosesFlows(PoolMember& member,
                   HealthCheckResult result,
@@ -312,8 +311,8 @@
    * this balancer's, seems cut: several of its servers refuse connections, and
    * none has answered since. */
   bool IsDataCentreCut(const PoolMember& member, TimePoint now) const;
-  /** @return Whether a backend server that refuses connections has crashed: it
-   * is not stopping, and its open flows make no progress. */
+  /** @return Whether a backend server that refuses connections has crashed or
+   * is cut off: it is not stopping, and its open flows make no progress. */
   bool HasCrashed(const PoolMember& member, TimePoint now) const;
   /** Reports a failure signal for the other backend servers in the data centre
    * of an unreachable one that have not answered since its check started. */
--- a/src/packet/pool_health.cc
+++ b/src/packet/pool_health.cc
@@ -33,7 +33,8 @@
 constexpr int kMinIsolatedBackends = 3;
 
 /** If this many backend servers fail at about the same time, the cause may be
- * this balancer's own link, so each needs two checks that time out. */
+ * this balancer's own link, so each needs two checks that time out until
+ * kLinkProofChecks show that the link works. */
 constexpr int kManyFailures = 8;
 /** Failures within this time count as simultaneous. */
 constexpr Milliseconds kFailureWindow{1000};
