--- a/review/standin-2/reused_port.cc
+++ b/review/standin-2/reused_port.cc
@@ -17,12 +17,12 @@
 constexpr int kOpenEveryMs = 25;
 constexpr int kRequests = 4;
 constexpr int kPauseMs = 500;
-/** Ports of the client's host: each is used again after 10 s, a flow lives
- * about 2 s. */
-constexpr int kPorts = 400;
+/** Ports of the client's host: each is used again after about 13 s, a flow
+ * lives about 2 s. */
+constexpr int kPorts = 500;
 constexpr int kFirstPort = 30000;
 
-constexpr int64_t kWarmUpMs = 12000;
+constexpr int64_t kWarmUpMs = 15500;
 constexpr int64_t kAfterMs = 12000;
 
 std::string Config(const Address& route) {
