--- a/review/standin-2/config_storm.cc
+++ b/review/standin-2/config_storm.cc
@@ -95,7 +95,9 @@
   bounds.contact_ms = 5000;
   Fleet fleet(directory, {"lk-west-a", "lk-west-a", "lk-west-b"}, bounds,
               record);
-  Store store(fleet.StoreAddress(), bounds.history_s * 1000);
+  Store store(fleet.StoreAddress(0), bounds.history_s * 1000);
+  for (size_t index = 1; index < fleet.Size(); ++index)
+    store.Listen(fleet.StoreAddress(index));
   Operator oper(store, record);
   oper.Publish("first");
 
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -54,7 +54,10 @@
       node.control_port = FindFreePort("control", {0, node.ip});
     this->inner_port = FindFreePort("inner", {first, second});
     this->metrics_port = FindFreePort("metrics", {first, second});
-    this->store_address = {store_ip, FindFreePort("store", {store_ip})};
+    // The store has an address for each daemon, so that a stand-in can disturb
+    // the link of one daemon.
+    for (Node& node : this->nodes)
+      node.store_address = {store_ip, FindFreePort("store", {store_ip})};
     std::string seeds;
     for (size_t index = 0; index < zones.size() && index < 3; ++index)
       seeds += (index == 0 ? "" : ",") +
@@ -73,7 +76,10 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  const Address& StoreAddress() const { return this->store_address; }
+  /** @return Address of the store for a daemon. */
+  const Address& StoreAddress(size_t index) const {
+    return this->nodes[index].store_address;
+  }
   uint16_t PacketPort() const { return this->packet_port; }
 
   void StartAll() {
@@ -202,6 +208,7 @@
     std::string zone;
     uint32_t ip = 0;
     uint16_t control_port = 0;
+    Address store_address;
     std::string settings;
     pid_t pid = 0;
     bool in_rotation = false;
@@ -230,7 +237,7 @@
         {"listen_addrs.control", ToString(Address{node.ip, node.control_port})},
         {"internal_port_range.0", std::to_string(this->inner_port)},
         {"internal_port_range.1", std::to_string(this->metrics_port)},
-        {"platform.address", ToString(this->store_address)},
+        {"platform.address", ToString(node.store_address)},
         {"bounds.config_apply_ms",
          std::to_string(this->bounds.config_apply_ms)},
         {"seeds", seeds},
@@ -273,7 +280,6 @@
   uint16_t ready_port = 0;
   uint16_t inner_port = 0;
   uint16_t metrics_port = 0;
-  Address store_address;
 };
 
 }  // namespace review
--- a/review/standin-2/reused_port.cc
+++ b/review/standin-2/reused_port.cc
@@ -42,7 +42,9 @@
   const Bounds bounds;
   Fleet fleet(directory, std::vector<std::string>(kDaemons, "gyor-a"), bounds,
               record);
-  Store store(fleet.StoreAddress(), bounds.history_s * 1000);
+  Store store(fleet.StoreAddress(0), bounds.history_s * 1000);
+  for (size_t index = 1; index < fleet.Size(); ++index)
+    store.Listen(fleet.StoreAddress(index));
   const Address route{Ip(127, 11, 200, 1), 8443};
   store.Put("op/config", Config(route));
 
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -6,6 +6,8 @@
 #include <condition_variable>
 #include <deque>
 #include <map>
+#include <memory>
+#include <vector>
 
 #include "net.h"
 
@@ -13,9 +15,45 @@
 
 class Store {
  public:
-  Store(const Address& address, int64_t history_ms)
-      : history_ms(history_ms), listener(BindOrThrow(SOCK_STREAM, address)) {
-    std::thread([this] { this->Accept(); }).detach();
+  Store(const Address& address, int64_t history_ms) : history_ms(history_ms) {
+    this->Listen(address);
+  }
+
+  /** Listens at one more address, behind a link of its own. @return The link's
+   * index; the first address has 0. */
+  size_t Listen(const Address& address) {
+    const int listener = BindOrThrow(SOCK_STREAM, address);
+    const std::lock_guard lock(this->mutex);
+    const size_t link = this->links.size();
+    this->links.emplace_back();
+    std::thread([this, listener, link] {
+      this->Accept(listener, link);
+    }).detach();
+    return link;
+  }
+
+  /** The connections that are open over the link go silent for good; new ones
+   * work. */
+  void SilenceOpenConnections(size_t link) {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& connection : this->connections)
+      connection->silent = connection->silent || connection->link == link;
+  }
+
+  /** Cuts the link off: nothing that is sent over it is answered. */
+  void Cut(size_t link, bool cut) {
+    const std::lock_guard lock(this->mutex);
+    this->links[link].cut = cut;
+    for (const auto& connection : this->connections) {
+      if (cut && connection->link == link)
+        connection->silent = true;
+    }
+  }
+
+  /** @return When the last watch came over the link; -1: never. */
+  int64_t LastWatchAt(size_t link) {
+    const std::lock_guard lock(this->mutex);
+    return this->links[link].last_watch_at;
   }
 
   /** Writes an item. @return Its revision; the return is the acknowledgement.
@@ -64,6 +102,15 @@
     std::string json;
   };
 
+  struct Link {
+    bool cut = false;
+    int64_t last_watch_at = -1;
+  };
+  struct Connection {
+    size_t link = 0;
+    std::atomic<bool> silent = false;
+  };
+
   /** Maximum items and bytes of one page. */
   static constexpr size_t kPageItems = 500;
   static constexpr size_t kPageBytes = 1 << 20;
@@ -78,23 +125,39 @@
     this->changed.notify_all();
   }
 
-  void Accept() {
+  void Accept(int listener, size_t link) {
     for (;;) {
-      const int fd = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+      const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0)
         continue;
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-      std::thread([this, fd] { this->Serve(fd); }).detach();
+      const auto connection = std::make_shared<Connection>();
+      connection->link = link;
+      {
+        const std::lock_guard lock(this->mutex);
+        connection->silent = this->links[link].cut;
+        this->connections.push_back(connection);
+      }
+      std::thread([this, fd, connection] {
+        this->Serve(fd, *connection);
+        const std::lock_guard lock(this->mutex);
+        std::erase(this->connections, connection);
+      }).detach();
     }
   }
 
-  void Serve(int fd) {
+  void Serve(int fd, Connection& connection) {
     std::string buffer;
     std::string head;
     while (ReadHead(fd, buffer, head)) {
-      const std::string target =
-          head.substr(4, head.find(' ', 4) - 4);
+      const std::string target = head.substr(4, head.find(' ', 4) - 4);
+      if (connection.silent)
+        continue;
+      if (target.starts_with("/kv-watch")) {
+        const std::lock_guard lock(this->mutex);
+        this->links[connection.link].last_watch_at = NowMs();
+      }
       int status = 200;
       std::string body = this->Answer(target, status);
       const std::string reply =
@@ -102,7 +165,7 @@
           (status == 200 ? " OK" : status == 410 ? " Gone" : " Not Found") +
           "\r\nContent-Type: application/json\r\nContent-Length: " +
           std::to_string(body.size()) + "\r\n\r\n" + body;
-      if (!WriteAll(fd, reply))
+      if (!connection.silent && !WriteAll(fd, reply))
         break;
     }
     close(fd);
@@ -219,7 +282,8 @@
   int64_t history_ms;
   std::map<int, int> counts;
   std::atomic<size_t> longest_watch = 0;
-  int listener;
+  std::deque<Link> links;
+  std::vector<std::shared_ptr<Connection>> connections;
 };
 
 }  // namespace review
