--- a/review/standin-2/client.h
+++ b/review/standin-2/client.h
@@ -26,7 +26,7 @@
   bool closed = false;  ///< Both ends have sent a FIN.
   std::string end;      ///< closed, reset, no_answer, no_handshake.
   int64_t reset_at_ms = -1;
-  Address reset_by;  ///< Sender of the reset.
+  Address reset_by;              ///< Sender of the reset.
   bool reset_by_system = false;  ///< It is a reset of the system's own.
   size_t last_daemon = 0;        ///< That took the flow's last packet.
 };
@@ -107,9 +107,9 @@
             uint8_t flags,
             const std::string& data) {
     const Address from{this->ip, key.port};
-    const std::string bytes = Encode(
-        {seq, ack, (flags & kSyn) != 0 ? 0 : flow.echo, 0, flags, from,
-         key.route, data});
+    const std::string bytes =
+        Encode({seq, ack, (flags & kSyn) != 0 ? 0 : flow.echo, 0, flags, from,
+                key.route, data});
     const size_t daemon = this->fleet.Select(this->zone, from, key.route);
     flow.result.last_daemon = daemon;
     const sockaddr_in to = ToSockaddr(this->fleet.PacketAddress(daemon));
@@ -164,8 +164,8 @@
     if ((packet.flags & kRst) != 0) {
       // The reset of a system promises nothing on an open flow unless its
       // number is near what the client has acknowledged last.
-      if (is_open && static_cast<uint32_t>(packet.seq - flow.ack + 76800) >
-                         2 * 76800)
+      if (is_open &&
+          static_cast<uint32_t>(packet.seq - flow.ack + 76800) > 2 * 76800)
         return;
       result.reset_at_ms = NowMs();
       result.reset_by = from;
@@ -252,9 +252,8 @@
     if (flow.sent_requests < result.requests) {
       ++flow.sent_requests;
       const std::string request =
-          "GET /r HTTP/1.1\r\nHost: x\r\nX-Request-Id: " +
-          ToString(this->ip) + "-" + std::to_string(++this->last_request) +
-          "\r\n\r\n";
+          "GET /r HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + ToString(this->ip) +
+          "-" + std::to_string(++this->last_request) + "\r\n\r\n";
       flow.unacked = request;
       flow.unacked_seq = flow.seq;
       flow.seq += static_cast<uint32_t>(request.size());
--- a/review/standin-2/config_storm.cc
+++ b/review/standin-2/config_storm.cc
@@ -54,8 +54,8 @@
   /** @return When the store acknowledged the version. */
   int64_t Publish(const std::string& what) {
     this->version += 1 + this->version % 3;
-    std::string text = "{\"version\":" + std::to_string(this->version) +
-                       ",\"routes\":[";
+    std::string text =
+        "{\"version\":" + std::to_string(this->version) + ",\"routes\":[";
     bool first = true;
     for (const auto& [name, at] : this->routes) {
       text += (first ? "" : ",") + Route(name, at);
@@ -200,16 +200,16 @@
     }
   }
   record.Line("opened: used route " + std::to_string(opened[kUsed]) +
-              " (endpoints took " + std::to_string(used) +
-              "), removed route " + std::to_string(opened[kRemoved]) +
-              ", added route " + std::to_string(opened[kAdded]) +
-              " (answered " + std::to_string(added_served) + ")");
+              " (endpoints took " + std::to_string(used) + "), removed route " +
+              std::to_string(opened[kRemoved]) + ", added route " +
+              std::to_string(opened[kAdded]) + " (answered " +
+              std::to_string(added_served) + ")");
   record.Line("longest answer of the store to a watch: " +
               std::to_string(store.LongestWatch()) + " bytes");
   record.Line("CONFIG broken by " + std::to_string(config) +
               " flows, the last sent after " + std::to_string(last_config) +
-              " ms; DRAIN by " + std::to_string(drain) +
-              ", the last after " + std::to_string(last_drain) + " ms");
+              " ms; DRAIN by " + std::to_string(drain) + ", the last after " +
+              std::to_string(last_drain) + " ms");
   if (used < 50) {
     record.Line("too few flows were served for a verdict");
     _exit(2);
--- a/review/standin-2/endpoint.h
+++ b/review/standin-2/endpoint.h
@@ -94,15 +94,15 @@
   };
 
   void Register() {
-    this->store.Put(
-        "servers/" + this->id,
-        "{\"service\":\"" + this->service + "\",\"address\":\"" +
-            ToString(this->address) + "\",\"zone\":\"" + this->zone +
-            "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" +
-            (this->draining ? "draining" : "ready") +
-            "\",\"cold_remaining_ms\":0,\"born\":" +
-            std::to_string(this->born_ms) +
-            ",\"seq\":" + std::to_string(++this->beats) + "}");
+    this->store.Put("servers/" + this->id,
+                    "{\"service\":\"" + this->service + "\",\"address\":\"" +
+                        ToString(this->address) + "\",\"zone\":\"" +
+                        this->zone +
+                        "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" +
+                        (this->draining ? "draining" : "ready") +
+                        "\",\"cold_remaining_ms\":0,\"born\":" +
+                        std::to_string(this->born_ms) +
+                        ",\"seq\":" + std::to_string(++this->beats) + "}");
   }
 
   void RunHealth() {
@@ -149,7 +149,9 @@
     }
   }
 
-  void Report(const char* kind, const Key& key, const std::string& request = "") {
+  void Report(const char* kind,
+              const Key& key,
+              const std::string& request = "") {
     this->observer({NowMs(), this->id, kind, key.client, key.route, request});
   }
 
@@ -185,9 +187,8 @@
 
   void OnLater(const Key& key, const Packet& packet) {
     const auto found = this->flows.find(key);
-    const bool held =
-        found != this->flows.end() &&
-        (found->second.open || packet.ack == found->second.seq);
+    const bool held = found != this->flows.end() &&
+                      (found->second.open || packet.ack == found->second.seq);
     if (!held) {
       this->Report("foreign", key);
       if ((packet.flags & kRst) == 0)
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -95,9 +95,8 @@
     const pid_t pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log =
-          open((this->directory + "/" + node.name + ".log").c_str(),
-               O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int log = open((this->directory + "/" + node.name + ".log").c_str(),
+                           O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
       setenv("CUMINVANE_SETTINGS", node.settings.c_str(), 1);
@@ -171,7 +170,9 @@
   }
 
   /** @return Index of the daemon that the routers select for a flow. */
-  size_t Select(const std::string& zone, const Address& from, const Address& to) {
+  size_t Select(const std::string& zone,
+                const Address& from,
+                const Address& to) {
     const std::lock_guard lock(this->mutex);
     std::vector<size_t> all;
     std::vector<size_t> ready;
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -101,8 +101,7 @@
 /** @return A port that is free for UDP and TCP at all the addresses. */
 inline uint16_t FindFreePort(const std::string& /*purpose*/,
                              const std::initializer_list<uint32_t>& ips) {
-  static uint16_t next =
-      static_cast<uint16_t>(20000 + (getpid() * 37) % 10000);
+  static uint16_t next = static_cast<uint16_t>(20000 + (getpid() * 37) % 10000);
   for (int tries = 0; tries < 2000; ++tries) {
     const uint16_t port = next++;
     bool free = true;
@@ -155,8 +154,8 @@
   pollfd wait{fd, POLLOUT, 0};
   int status = 0;
   if (poll(&wait, 1, ms) == 1) {
-    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: " +
-                                ToString(to) +
+    const std::string request = "GET " + path +
+                                " HTTP/1.1\r\nHost: " + ToString(to) +
                                 "\r\nConnection: close\r\n\r\n";
     if (WriteAll(fd, request)) {
       wait.events = POLLIN;
--- a/review/standin-2/reused_port.cc
+++ b/review/standin-2/reused_port.cc
@@ -38,7 +38,9 @@
 }
 
 /** Doesn't return: threads still use what it has. */
-[[noreturn]] void Play(const std::string& directory, Record& record, bool trouble) {
+[[noreturn]] void Play(const std::string& directory,
+                       Record& record,
+                       bool trouble) {
   const Bounds bounds;
   Fleet fleet(directory, std::vector<std::string>(kDaemons, "gyor-a"), bounds,
               record);
--- a/review/standin-2/silent_connection.cc
+++ b/review/standin-2/silent_connection.cc
@@ -155,7 +155,7 @@
   }
   for (const auto& [name, after] : last)
     record.Line("last opening packet to the removed route through " + name +
-                ": sent " + std::to_string(after) + " ms after" );
+                ": sent " + std::to_string(after) + " ms after");
   record.Line("endpoints took " + std::to_string(used) +
               " flows to the used route; CONFIG broken by " +
               std::to_string(broken) + " flows");
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -162,7 +162,9 @@
       std::string body = this->Answer(target, status);
       const std::string reply =
           "HTTP/1.1 " + std::to_string(status) +
-          (status == 200 ? " OK" : status == 410 ? " Gone" : " Not Found") +
+          (status == 200   ? " OK"
+           : status == 410 ? " Gone"
+                           : " Not Found") +
           "\r\nContent-Type: application/json\r\nContent-Length: " +
           std::to_string(body.size()) + "\r\n\r\n" + body;
       if (!connection.silent && !WriteAll(fd, reply))
@@ -201,9 +203,10 @@
     if (path == "/kv-range")
       body = this->Range(Argument(target, "prefix"), Argument(target, "after"));
     else if (path == "/kv-watch")
-      body = this->Watch(Argument(target, "prefix"),
-                         strtoull(Argument(target, "after").c_str(), nullptr, 10),
-                         atoll(Argument(target, "wait_ms").c_str()), status);
+      body =
+          this->Watch(Argument(target, "prefix"),
+                      strtoull(Argument(target, "after").c_str(), nullptr, 10),
+                      atoll(Argument(target, "wait_ms").c_str()), status);
     else if (path == "/kv-key")
       body = this->Key(Argument(target, "key"), status);
     else
@@ -233,8 +236,7 @@
     for (; item != this->items.end() && item->first.starts_with(prefix);
          ++item) {
       if (count == kPageItems ||
-          (count > 0 &&
-           body.size() + item->second.json.size() > kPageBytes)) {
+          (count > 0 && body.size() + item->second.json.size() > kPageBytes)) {
         more = true;
         break;
       }
@@ -249,8 +251,8 @@
                     int64_t wait_ms,
                     int& status) {
     std::unique_lock lock(this->mutex);
-    const auto deadline = std::chrono::steady_clock::now() +
-                          std::chrono::milliseconds(wait_ms);
+    const auto deadline =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
     for (;;) {
       if (after < this->dropped) {
         status = 410;
