--- a/review/standin-2/silent_connection.cc
+++ b/review/standin-2/silent_connection.cc
@@ -1,7 +1,7 @@
 // Open connections go silent once; later the daemons that watch the store are
-// cut off from it, and the configuration changes.
+// turned away by it, and the configuration changes.
 // Usage: silent_connection RECORD TROUBLE DIRECTORY
-// TROUBLE: 0: neither; cut: only the cut; anything else: both.
+// TROUBLE: 0: neither; cut: only the latter; anything else: both.
 #include <algorithm>
 #include <set>
 
@@ -12,12 +12,12 @@
 namespace review {
 namespace {
 
-constexpr int kDaemons = 4;
+constexpr int kDaemons = 6;
 constexpr int kEndpoints = 6;
 constexpr int kWorkMs = 30;
 constexpr int kHeartbeatMs = 770;
-constexpr int64_t kCutMs = 5500;
-/** From the silence to the cut; over twice `contact_ms`. */
+constexpr int64_t kCutMs = 9000;
+/** From the silence until then; over twice `contact_ms`. */
 constexpr int64_t kCalmMs = 10000;
 constexpr int kOpenEveryMs = 10;
 
@@ -107,7 +107,7 @@
   if (trouble != "0") {
     for (const size_t index : watchers) {
       store.Cut(index, true);
-      record.Line("cut off from the store: " + fleet.NameOf(index));
+      record.Line("turned away by the store: " + fleet.NameOf(index));
     }
   }
   const int64_t cut_at = NowMs();
