--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,10 +5,10 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/cuminvaned ] && [ -x target/review-2/reused_port ] || exit 2
+[ -x target/cuminvaned ] && [ -x target/review-2/odd_entry ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 115 target/review-2/reused_port "$here/record.txt" "${TROUBLE:-1}" "$folder"
+timeout -k 5 115 target/review-2/odd_entry "$here/record.txt" "${TROUBLE:-1}" "$folder"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standin-2/endpoint.h
+++ b/review/standin-2/endpoint.h
@@ -18,8 +18,9 @@
 struct EndpointEvent {
   int64_t at_ms = 0;
   std::string endpoint;
-  std::string kind;  ///< syn, open, run, foreign (a flow that it doesn't hold),
-                     ///< forged.
+  std::string
+      kind;  ///< packet, syn, open, run, foreign (a flow that it doesn't
+             ///< hold), misdirected (for another endpoint), forged.
   Address client;
   Address route;
   std::string request;  ///< Id of the request that ran.
@@ -157,8 +158,6 @@
 
   void OnDatagram(std::string_view bytes) {
     const uint64_t target = Get(bytes, 0, 8);
-    if (target != 0 && target != this->number)
-      return;
     Packet packet;
     const Key none;
     if (!Decode(bytes.substr(8), packet) || packet.sum != SumOf(packet)) {
@@ -166,6 +165,11 @@
       return;
     }
     const Key key{packet.src, packet.dst};
+    if (target != 0 && target != this->number) {
+      this->Report("misdirected", key);
+      return;
+    }
+    this->Report("packet", key);
     if ((packet.flags & kSyn) != 0)
       this->OnSyn(key, packet);
     else
